--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -3,7 +3,7 @@
 set -e
 packages="build-essential cmake ninja-build pkg-config clang-format clang-tidy
 	ccache valgrind libapr1-dev libaprutil1-dev libmsgpack-dev
-	libmicrohttpd-dev libargtable2-dev libcriterion-dev
+	libhttp-parser-dev libargtable2-dev libcriterion-dev
 	libtomlplusplus-dev libjansson-dev libxxhash-dev uthash-dev
 	libsodium-dev libcurl4-gnutls-dev"
 missing=
--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -1,5 +1,6 @@
 #include "base/buffer.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -66,3 +67,9 @@
 	free(buffer->bytes);
 	memset(buffer, 0, sizeof(*buffer));
 }
+
+void buffer_drop(struct buffer *buffer, size_t size)
+{
+	assert(size <= buffer_size(buffer));
+	buffer->end -= size;
+}
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -41,6 +41,9 @@
 /** buffer_consume() - forget the first @size bytes. */
 void buffer_consume(struct buffer *buffer, size_t size);
 
+/** buffer_drop() - forget the last @size bytes. */
+void buffer_drop(struct buffer *buffer, size_t size);
+
 /** buffer_finish() - free the memory; the buffer is empty and usable. */
 void buffer_finish(struct buffer *buffer);
 
--- a/src/call/names.h
+++ b/src/call/names.h
@@ -3,6 +3,7 @@
 
 #include <stdbool.h>
 #include <stddef.h>
+#include <stdint.h>
 
 #include "base/interface.h"
 
@@ -32,6 +33,9 @@
  * @not_run_value: what it must say; NULL for anything
  * @instance_id: in an answer, which start of the upstream gave it
  * @load: in an answer, "running,waiting,slots" of the upstream
+ * @eof_ends_answer: an answer may have no length and end with its connection
+ * @idle_max_ms: requests that must not run twice go on no connection that was
+ *	idle for longer; 0: on fresh ones only
  * @stamp: in each answer of an upstream that ran the request
  */
 struct call_names {
@@ -60,6 +64,8 @@
 	const char *not_run_value;
 	const char *instance_id;
 	const char *load;
+	bool eof_ends_answer;
+	int64_t idle_max_ms;
 	const char *stamp;
 };
 
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -100,7 +100,7 @@
 	if (answer->delivery != HTTP_ANSWERED)
 		return judgement;
 	/* Half an answer must not pass for a whole one. */
-	if (!answer->delimited)
+	if (!answer->delimited && !names->eof_ends_answer)
 		return judgement;
 	judgement.lesson = sheds(answer) ? GATE_SHED : GATE_OK;
 	if (proves_not_run(names, answer)) {
@@ -216,10 +216,20 @@
 	return count;
 }
 
+static void use_fresh(struct serving *serving, struct http_request *request)
+{
+	int fd = spares_take(&serving->server->spares,
+			     &serving->server->upstream);
+
+	request->fresh_connection = true;
+	request->connected_fd = fd == NET_NONE ? 0 : fd;
+}
+
 struct http_transfer *upstream_send(struct serving *serving,
 				    http_answer_fn *done, int64_t now_us)
 {
 	struct http_header headers[CALL_HEADERS_MAX + OWN_HEADERS];
+	const struct call_names *names = serving->server->options.names;
 	const struct call_bytes bytes = { buffer_data(&serving->headers),
 					  buffer_size(&serving->headers) };
 	size_t count = headers_split(&bytes, headers);
@@ -238,18 +248,15 @@
 			serving->server->options.connect_timeout_ms,
 		.timeout_ms = wait_ms > 0 ? wait_ms : 1,
 		.max_answer_bytes = serving->server->options.answer_bytes_max,
-		.fresh_connection = !serving->repeatable,
+		.echo = names->passes_request_id ? names->request_id : NULL,
 	};
 
-	/* The library sends a request again by itself if a connection that
-	 * was used before proves dead: one that may not be repeated goes on a
-	 * connection that nothing was ever sent on. */
-	if (request.fresh_connection) {
-		int fd = spares_take(&serving->server->spares,
-				     &serving->server->upstream);
-
-		request.connected_fd = fd == NET_NONE ? 0 : fd;
-	}
+	/* The upstream may close a kept connection just as a request is sent
+	 * on it; whether that ran cannot be known then. */
+	if (!serving->repeatable && names->idle_max_ms)
+		request.idle_max_ms = names->idle_max_ms;
+	else if (!serving->repeatable)
+		use_fresh(serving, &request);
 	count += add_own(serving, request.timeout_ms, &own, &headers[count]);
 	request.header_count = count;
 	snprintf(url, sizeof(url), "http://%s", serving->server->upstream_text);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -1,7 +1,6 @@
 #ifndef HTTP_CLIENT_H
 #define HTTP_CLIENT_H
 
-#include <curl/curl.h>
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
@@ -14,13 +13,11 @@
 /**
  * DOC: http client
  *
- * libcurl's multi interface on the process's own loop. Redirects, proxies
- * from the environment, Expect: 100-continue, HTTP/2 and name look-ups of
- * the library are switched off.
- *
- * libcurl by itself sends a request a second time when a kept connection
- * proves dead, whatever the method. A request that may not be repeated must
- * therefore be sent with fresh_connection.
+ * HTTP/1.1 to servers known by number, on the process's own loop; answers are
+ * taken apart by a parser library. Connections are kept and used again, the
+ * one used last first, so that few stay open; one that the server may be
+ * about to close is not used. Nothing is ever sent a second time by itself:
+ * whoever asked is told what is known, and decides.
  */
 
 /** enum http_delivery - what is known of a request that was sent. */
@@ -32,12 +29,19 @@
 
 /**
  * struct http_request - what to send; all of it is copied
- * @target: path and query sent as they are, in place of those of @url; may
- *	be NULL
+ * @url: "http://IP:PORT" and, without @target, path and query
+ * @target: path and query sent as they are; may be NULL
+ * @headers: Host is added where it is missing
  * @fresh_connection: use a new connection and do not keep it
+ * @idle_max_ms: use no connection that has been idle for longer; 0 for the
+ *	usual bound. A server that closes a kept connection just as a request
+ *	is sent leaves it unknown whether the request ran
  * @connected_fd: with @fresh_connection, a connection to @url's server that
  *	nothing was sent on, owned by the client from now on; 0 for none
  * @timeout_ms: for the whole exchange; 0 for none
+ * @echo: a field that the answer repeats from the request; an answer in
+ *	which it has another value is left over from an earlier request on the
+ *	connection, and is skipped; NULL if there is none
  */
 struct http_request {
 	const char *method;
@@ -51,7 +55,9 @@
 	int64_t timeout_ms;
 	size_t max_answer_bytes;
 	bool fresh_connection;
+	int64_t idle_max_ms;
 	int connected_fd;
+	const char *echo;
 };
 
 /**
@@ -79,17 +85,20 @@
 typedef void http_answer_fn(const struct http_answer *answer, void *data);
 
 struct http_transfer;
+struct client_conn;
 
+/**
+ * struct http_client - all outgoing requests of a process
+ * @idle: kept connections, the one used last first
+ * @opened: connections made so far
+ */
 struct http_client {
 	struct loop *loop;
-	CURLM *multi;
-	struct timer timer;
 	struct http_transfer *transfers;
 	uint32_t transfer_count;
-	struct deferred reap_soon;
-	struct http_transfer *spare;
-	uint32_t spare_count;
-	struct client_socket *sockets;
+	struct client_conn *idle;
+	struct timer idle_timer;
+	uint64_t opened;
 };
 
 bool http_client_init(struct http_client *client, struct loop *loop,
--- /dev/null
+++ b/src/http/client_conn.c
@@ -0,0 +1,453 @@
+#include "http/client_conn.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <utlist.h>
+
+#include "base/counter.h"
+#include "os/clock.h"
+#include "os/net.h"
+
+enum {
+	READ_BYTES = 64 * 1024,
+	READ_ROUNDS = 4,
+	HEAD_MAX_BYTES = 64 * 1024,
+	/* Without word of the server. */
+	KEEP_DEFAULT_MS = 4000,
+	KEEP_MOST_MS = 60 * 1000,
+	/* Of the time that the server tells: its clock began earlier. */
+	KEEP_PERCENT = 80,
+	IDLE_CHECK_MS = 1000,
+	STATUS_SWITCHING = 101,
+	STATUS_OK = 200,
+	STATUS_NO_CONTENT = 204,
+	STATUS_NOT_MODIFIED = 304,
+};
+
+COUNTER(stray_count, "http.stray_answers",
+	"Answers skipped because they belonged to an earlier request");
+COUNTER(reused_count, "http.connections_reused",
+	"Outgoing requests that went on a kept connection");
+COUNTER(opened_count, "http.connections_opened",
+	"Connections made for outgoing requests");
+
+static int64_t now(const struct client_conn *conn)
+{
+	return loop_now_us(conn->client->loop);
+}
+
+void client_conn_free(struct client_conn *conn)
+{
+	struct http_client *client = conn->client;
+
+	if (conn->state == CLIENT_IDLE)
+		DL_DELETE(client->idle, conn);
+	if (conn->transfer)
+		conn->transfer->conn = NULL;
+	watch_stop(&conn->watch);
+	net_close(conn->fd);
+	free(conn);
+}
+
+static void fail(struct client_conn *conn, enum error_code code,
+		 const char *text)
+{
+	struct http_transfer *transfer = conn->transfer;
+
+	client_conn_free(conn);
+	if (transfer)
+		transfer_ended(transfer, code, text);
+}
+
+static struct http_transfer *transfer_of(http_parser *parser)
+{
+	return ((struct client_conn *)parser->data)->transfer;
+}
+
+static int on_begin(http_parser *parser)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	http_head_reset(&transfer->head);
+	buffer_consume(&transfer->body, buffer_size(&transfer->body));
+	return 0;
+}
+
+static bool head_fits(struct http_transfer *transfer)
+{
+	/* An answer without some of its fields would not be the whole one. */
+	transfer->too_large = buffer_size(&transfer->head.fields) >
+				      HEAD_MAX_BYTES ||
+			      transfer->head.count >= HTTP_FIELDS_MAX;
+	return !transfer->too_large;
+}
+
+static int on_name(http_parser *parser, const char *at, size_t size)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	http_head_name(&transfer->head, at, size);
+	return head_fits(transfer) ? 0 : -1;
+}
+
+static int on_value(http_parser *parser, const char *at, size_t size)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	http_head_value(&transfer->head, at, size);
+	return head_fits(transfer) ? 0 : -1;
+}
+
+/* Whether the end of the answer can be known before its connection ends. */
+static bool tells_end(const struct http_transfer *transfer,
+		      const http_parser *parser)
+{
+	return transfer->head_only || (parser->flags & F_CHUNKED) ||
+	       parser->content_length != UINT64_MAX ||
+	       parser->status_code < STATUS_OK ||
+	       parser->status_code == STATUS_NO_CONTENT ||
+	       parser->status_code == STATUS_NOT_MODIFIED;
+}
+
+static int on_head(http_parser *parser)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	http_head_end(&transfer->head);
+	transfer->status = parser->status_code;
+	transfer->delimited = tells_end(transfer, parser);
+	parser->upgrade = 0;
+	/* Nothing here asks for another protocol. */
+	if (parser->status_code == STATUS_SWITCHING)
+		return -1;
+	return transfer->head_only && parser->status_code >= STATUS_OK ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t size)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	if (buffer_size(&transfer->body) + size > transfer->max_answer_bytes) {
+		transfer->too_large = true;
+		return -1;
+	}
+	buffer_append(&transfer->body, at, size);
+	return 0;
+}
+
+static int on_message(http_parser *parser)
+{
+	struct http_transfer *transfer = transfer_of(parser);
+
+	transfer->keep_alive = http_should_keep_alive(parser);
+	transfer->complete = true;
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_message_begin = on_begin,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_message,
+};
+
+/* Whether the whole answer that has come is not the one that is waited for:
+ * an informational one, or one left over from an earlier request. */
+static bool is_passed_over(struct http_transfer *transfer)
+{
+	const char *echoed;
+
+	if (transfer->status < STATUS_OK)
+		return true;
+	if (!transfer->echo)
+		return false;
+	echoed = http_head_find(&transfer->head, transfer->echo);
+	if (!echoed || !strcmp(echoed, transfer->echo_value))
+		return false;
+	counter_add(&stray_count, 1);
+	return true;
+}
+
+/* How long the server keeps an idle connection, as far as it says. */
+static int64_t keep_us_of(const struct http_transfer *transfer)
+{
+	const char *text = http_head_find(&transfer->head, "Keep-Alive");
+	const char *at = text ? strcasestr(text, "timeout=") : NULL;
+	long seconds;
+	int64_t keep_ms;
+
+	if (!at)
+		return KEEP_DEFAULT_MS * US_PER_MS;
+	seconds = strtol(at + strlen("timeout="), NULL, 10);
+	if (seconds <= 0)
+		return 0;
+	keep_ms = (int64_t)seconds * MS_PER_S * KEEP_PERCENT / 100;
+	if (keep_ms > KEEP_MOST_MS)
+		keep_ms = KEEP_MOST_MS;
+	return keep_ms * US_PER_MS;
+}
+
+static void make_idle(struct client_conn *conn)
+{
+	struct http_client *client = conn->client;
+
+	conn->transfer->conn = NULL;
+	conn->transfer = NULL;
+	conn->state = CLIENT_IDLE;
+	conn->idle_us = now(conn);
+	DL_PREPEND(client->idle, conn);
+	watch_change(&conn->watch, LOOP_READ);
+	if (!timer_is_set(&client->idle_timer))
+		timer_set(client->loop, &client->idle_timer,
+			  conn->idle_us + IDLE_CHECK_MS * US_PER_MS);
+}
+
+/* The whole answer has come; @left bytes came behind it. */
+static void answered(struct client_conn *conn, size_t left)
+{
+	struct http_transfer *transfer = conn->transfer;
+	bool kept = transfer->keep_alive && !transfer->fresh && !left &&
+		    transfer->delimited && !buffer_size(&transfer->out) &&
+		    !transfer->write_failed;
+
+	conn->keep_us = kept ? keep_us_of(transfer) : 0;
+	if (conn->keep_us > 0)
+		make_idle(conn);
+	else
+		client_conn_free(conn);
+	transfer_ended(transfer, ERROR_NONE, "");
+}
+
+/* Return: false if the connection or its transfer has ended. */
+static bool parse(struct client_conn *conn, const char *data, size_t size)
+{
+	struct http_transfer *transfer = conn->transfer;
+
+	for (;;) {
+		size_t used = http_parser_execute(&conn->parser, &settings,
+						  data, size);
+		enum http_errno code = HTTP_PARSER_ERRNO(&conn->parser);
+
+		if (code != HPE_OK && code != HPE_PAUSED) {
+			fail(conn,
+			     transfer->too_large ? ERROR_LIMIT : ERROR_PROTOCOL,
+			     transfer->too_large
+				     ? "answer too large"
+				     : http_errno_description(code));
+			return false;
+		}
+		if (!transfer->complete)
+			return true;
+		if (!is_passed_over(transfer)) {
+			answered(conn, size - used);
+			return false;
+		}
+		transfer->complete = false;
+		http_parser_pause(&conn->parser, 0);
+		data += used;
+		size -= used;
+		if (!size)
+			return true;
+	}
+}
+
+/* The server has closed in order: that ends an answer without length. */
+static void closed(struct client_conn *conn)
+{
+	struct http_transfer *transfer = conn->transfer;
+
+	http_parser_execute(&conn->parser, &settings, NULL, 0);
+	if (transfer->complete && !is_passed_over(transfer)) {
+		transfer->keep_alive = false;
+		answered(conn, 0);
+		return;
+	}
+	fail(conn, ERROR_IO, "closed without a whole answer");
+}
+
+static void read_in(struct client_conn *conn)
+{
+	static char data[READ_BYTES];
+	int round;
+
+	for (round = 0; round < READ_ROUNDS; round++) {
+		size_t size = sizeof(data);
+		enum net_result result = net_read(conn->fd, data, &size);
+
+		switch (result) {
+		case NET_AGAIN:
+			return;
+		case NET_CLOSED:
+			closed(conn);
+			return;
+		case NET_FAILED:
+			fail(conn, ERROR_IO, "connection reset");
+			return;
+		case NET_OK:
+			break;
+		}
+		if (!parse(conn, data, size) || size < sizeof(data))
+			return;
+	}
+}
+
+static void write_out(struct client_conn *conn)
+{
+	struct http_transfer *transfer = conn->transfer;
+	struct buffer *out = &transfer->out;
+
+	while (buffer_size(out) && !transfer->write_failed) {
+		size_t size = buffer_size(out);
+		enum net_result result =
+			net_write(conn->fd, buffer_data(out), &size);
+
+		if (result == NET_AGAIN)
+			break;
+		if (result != NET_OK) {
+			/* An answer may have come before the server closed;
+			 * reading tells. */
+			transfer->write_failed = true;
+			break;
+		}
+		transfer->written = true;
+		buffer_consume(out, size);
+	}
+	watch_change(&conn->watch,
+		     buffer_size(out) && !transfer->write_failed
+			     ? LOOP_READ | LOOP_WRITE
+			     : LOOP_READ);
+}
+
+static void connected(struct client_conn *conn)
+{
+	int result = net_connect_result(conn->fd);
+
+	if (result) {
+		fail(conn, ERROR_IO, strerror(result));
+		return;
+	}
+	conn->state = CLIENT_BUSY;
+	write_out(conn);
+}
+
+static void conn_ready(struct watch *watch, int ready, void *data)
+{
+	struct client_conn *conn = data;
+
+	switch (conn->state) {
+	case CLIENT_CONNECTING:
+		connected(conn);
+		return;
+	case CLIENT_IDLE:
+		/* Closed by the server, or bytes that nobody asked for. */
+		client_conn_free(conn);
+		return;
+	case CLIENT_BUSY:
+		break;
+	}
+	if (ready & LOOP_WRITE)
+		write_out(conn);
+	if (ready & LOOP_READ)
+		read_in(conn);
+}
+
+static struct client_conn *conn_new(struct http_transfer *transfer, int fd,
+				    enum client_conn_state state, int events)
+{
+	struct client_conn *conn = calloc(1, sizeof(*conn));
+	struct error err = ERROR_INIT;
+
+	if (!conn)
+		abort();
+	conn->client = transfer->client;
+	conn->fd = fd;
+	conn->to = transfer->to;
+	conn->state = state;
+	conn->transfer = transfer;
+	transfer->conn = conn;
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+	net_guard(fd);
+	if (watch_start(&conn->watch, conn->client->loop, fd, events,
+			conn_ready, conn, &err))
+		return conn;
+	client_conn_free(conn);
+	return NULL;
+}
+
+struct client_conn *client_conn_open(struct http_transfer *transfer,
+				     struct error *err)
+{
+	int fd = net_connect(&transfer->to, NULL, err);
+
+	if (fd == NET_NONE)
+		return NULL;
+	transfer->client->opened++;
+	counter_add(&opened_count, 1);
+	return conn_new(transfer, fd, CLIENT_CONNECTING, LOOP_WRITE);
+}
+
+struct client_conn *client_conn_adopt(struct http_transfer *transfer, int fd)
+{
+	struct client_conn *conn =
+		conn_new(transfer, fd, CLIENT_BUSY, LOOP_READ);
+
+	if (conn)
+		write_out(conn);
+	return conn;
+}
+
+static bool is_fit(const struct client_conn *conn,
+		   const struct http_transfer *transfer)
+{
+	int64_t idle_us = now(conn) - conn->idle_us;
+
+	return address_equal(&conn->to, &transfer->to) &&
+	       idle_us < conn->keep_us &&
+	       (!transfer->idle_max_us || idle_us < transfer->idle_max_us);
+}
+
+struct client_conn *client_conn_reuse(struct http_transfer *transfer)
+{
+	struct client_conn *conn;
+	struct client_conn *next;
+
+	DL_FOREACH_SAFE(transfer->client->idle, conn, next) {
+		if (!is_fit(conn, transfer))
+			continue;
+		/* The server may have closed it in this very turn. */
+		if (net_peek(conn->fd) != NET_AGAIN) {
+			client_conn_free(conn);
+			continue;
+		}
+		DL_DELETE(transfer->client->idle, conn);
+		conn->state = CLIENT_BUSY;
+		conn->transfer = transfer;
+		transfer->conn = conn;
+		http_parser_init(&conn->parser, HTTP_RESPONSE);
+		conn->parser.data = conn;
+		counter_add(&reused_count, 1);
+		write_out(conn);
+		return conn;
+	}
+	return NULL;
+}
+
+void client_idle_expired(struct timer *timer, void *data)
+{
+	struct http_client *client = data;
+	int64_t now_us = loop_now_us(client->loop);
+	struct client_conn *conn;
+	struct client_conn *next;
+
+	DL_FOREACH_SAFE(client->idle, conn, next)
+		if (now_us - conn->idle_us >= conn->keep_us)
+			client_conn_free(conn);
+	if (client->idle)
+		timer_set(client->loop, timer,
+			  now_us + IDLE_CHECK_MS * US_PER_MS);
+}
--- /dev/null
+++ b/src/http/conn.c
@@ -0,0 +1,538 @@
+#include "http/conn.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <utlist.h>
+
+#include "base/counter.h"
+#include "http/target.h"
+#include "os/clock.h"
+#include "os/net.h"
+
+enum {
+	READ_BYTES = 64 * 1024,
+	READ_ROUNDS = 4,
+	LINGER_MS = 1000,
+	STATUS_BAD_REQUEST = 400,
+	STATUS_TIMEOUT = 408,
+	STATUS_TOO_LARGE = 413,
+	STATUS_HEAD_TOO_LARGE = 431,
+	STATUS_UNAVAILABLE = 503,
+};
+
+COUNTER(aborted_count, "http.callers_hung_up",
+	"Requests whose caller closed before the answer");
+COUNTER(too_large, "http.bodies_too_large",
+	"Requests refused because their body is larger than the limit");
+COUNTER(no_room, "http.bodies_no_room",
+	"Requests refused because this process holds too many bytes of bodies");
+COUNTER(malformed, "http.requests_malformed",
+	"Requests refused because they break the protocol");
+
+static void take_in(struct http_conn *conn);
+
+static int64_t now(const struct http_conn *conn)
+{
+	return loop_now_us(conn->server->loop);
+}
+
+static struct http_conn *conn_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+/* What the connection waits for, and how long it may. */
+static int64_t wait_ms(const struct http_conn *conn)
+{
+	const struct http_server_options *options = &conn->server->options;
+
+	if (conn->state == CONN_LINGERING)
+		return LINGER_MS;
+	if (conn->in_head)
+		return options->head_timeout_ms;
+	if (conn->reading || !conn->exchanges || buffer_size(&conn->out))
+		return options->idle_timeout_ms;
+	return -1; /* for the handler: as long as it takes */
+}
+
+/* Setting a timer anew for each byte would cost more than letting it expire
+ * now and then before its time. */
+static void begin_wait(struct http_conn *conn)
+{
+	int64_t limit_ms = wait_ms(conn);
+	int64_t at_us;
+
+	conn->since_us = now(conn);
+	if (limit_ms < 0)
+		return;
+	at_us = conn->since_us + limit_ms * US_PER_MS;
+	if (!timer_is_set(&conn->timer) || at_us < conn->timer.at_us)
+		timer_set(conn->server->loop, &conn->timer, at_us);
+}
+
+static void watch_again(struct http_conn *conn)
+{
+	int events = conn->stuck ? 0 : LOOP_READ;
+
+	if (buffer_size(&conn->out))
+		events |= LOOP_WRITE;
+	watch_change(&conn->watch, events);
+}
+
+static void abort_exchange(struct http_exchange *exchange)
+{
+	http_abort_fn *aborted = exchange->aborted;
+
+	exchange->aborted = NULL;
+	if (exchange->state == EXCHANGE_PENDING && aborted)
+		aborted(exchange, exchange->aborted_data);
+	if (exchange->state == EXCHANGE_PENDING ||
+	    exchange->state == EXCHANGE_QUEUED)
+		counter_add(&aborted_count, 1);
+}
+
+void conn_free(struct http_conn *conn)
+{
+	struct http_server *server = conn->server;
+	struct http_exchange *exchange;
+	struct http_exchange *next;
+
+	watch_stop(&conn->watch);
+	timer_cancel(server->loop, &conn->timer);
+	loop_defer_cancel(server->loop, &conn->flush);
+	loop_defer_cancel(server->loop, &conn->resume);
+	DL_FOREACH_SAFE(conn->exchanges, exchange, next)
+		abort_exchange(exchange);
+	DL_FOREACH_SAFE(conn->exchanges, exchange, next)
+		exchange_free(exchange);
+	net_close(conn->fd);
+	buffer_finish(&conn->in);
+	buffer_finish(&conn->out);
+	DL_DELETE(server->conns, conn);
+	server->conn_count--;
+	free(conn);
+}
+
+/* Closing while the caller still sends would reset the connection, and the
+ * answer that is on its way to it would be lost. */
+static void linger(struct http_conn *conn)
+{
+	conn->state = CONN_LINGERING;
+	shutdown(conn->fd, SHUT_WR);
+	conn->stuck = false;
+	begin_wait(conn);
+	watch_again(conn);
+}
+
+static void hand_over_run(void *data)
+{
+	struct http_exchange *exchange = data;
+	struct http_server *server = exchange->server;
+
+	exchange->state = EXCHANGE_PENDING;
+	server->options.handler(exchange, server->options.data);
+}
+
+static struct http_exchange *reading(struct http_conn *conn)
+{
+	if (!conn->reading) {
+		conn->reading = exchange_new(conn);
+		conn->in_head = true;
+		begin_wait(conn);
+	}
+	return conn->reading;
+}
+
+static int on_message_begin(http_parser *parser)
+{
+	reading(conn_of(parser));
+	return 0;
+}
+
+static int on_url(http_parser *parser, const char *at, size_t size)
+{
+	buffer_append(&reading(conn_of(parser))->target, at, size);
+	return 0;
+}
+
+static int on_name(http_parser *parser, const char *at, size_t size)
+{
+	struct http_exchange *exchange = conn_of(parser)->reading;
+
+	/* Fields behind a body in pieces are not passed on. */
+	if (conn_of(parser)->in_head)
+		http_head_name(&exchange->head, at, size);
+	return 0;
+}
+
+static int on_value(http_parser *parser, const char *at, size_t size)
+{
+	struct http_exchange *exchange = conn_of(parser)->reading;
+
+	if (conn_of(parser)->in_head)
+		http_head_value(&exchange->head, at, size);
+	return 0;
+}
+
+/* Refuse what is being read: no more requests are taken on this connection. */
+static void refuse(struct http_conn *conn, unsigned int status,
+		   const char *reason)
+{
+	struct http_exchange *exchange = reading(conn);
+
+	conn->reading = NULL;
+	conn->in_head = false;
+	conn->state = CONN_PARTING;
+	snprintf(exchange->method, sizeof(exchange->method), "%s", "GET");
+	exchange_refuse(exchange, status, reason);
+}
+
+static bool has_room(const struct http_server *server, size_t size)
+{
+	return !server->options.held_bytes_max ||
+	       server->held_bytes + size <= server->options.held_bytes_max;
+}
+
+/* Return: whether a body of @size more bytes is taken. */
+static bool admit_body(struct http_conn *conn, uint64_t size)
+{
+	const struct http_server *server = conn->server;
+	size_t held = buffer_size(&conn->reading->body);
+
+	if (size > server->options.max_body_bytes ||
+	    held + size > server->options.max_body_bytes) {
+		counter_add(&too_large, 1);
+		refuse(conn, STATUS_TOO_LARGE, "too-large");
+		return false;
+	}
+	if (has_room(server, size))
+		return true;
+	counter_add(&no_room, 1);
+	refuse(conn, STATUS_UNAVAILABLE, "overload");
+	return false;
+}
+
+static bool is_confused(const struct http_exchange *exchange)
+{
+	const struct http_head *head = &exchange->head;
+
+	if (http_head_find(head, "Transfer-Encoding") &&
+	    http_head_find(head, "Content-Length"))
+		return true;
+	return http_head_count(head, "Content-Length") > 1 ||
+	       http_head_count(head, "Transfer-Encoding") > 1 ||
+	       http_head_count(head, "Host") > 1;
+}
+
+static void invite_body(struct http_conn *conn)
+{
+	static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
+	const char *expect =
+		http_head_find(&conn->reading->head, "Expect");
+
+	if (!expect || conn->exchanges != conn->reading ||
+	    buffer_size(&conn->out))
+		return;
+	buffer_append(&conn->out, line, sizeof(line) - 1);
+	conn->queued += sizeof(line) - 1;
+	loop_defer_late(conn->server->loop, &conn->flush);
+}
+
+static int on_head(http_parser *parser)
+{
+	struct http_conn *conn = conn_of(parser);
+	struct http_exchange *exchange = conn->reading;
+
+	http_head_end(&exchange->head);
+	buffer_append(&exchange->target, "", 1);
+	exchange->path = http_target_path(
+		(const char *)buffer_data(&exchange->target));
+	snprintf(exchange->method, sizeof(exchange->method), "%s",
+		 http_method_str((enum http_method)parser->method));
+	conn->in_head = false;
+	/* No other protocol is spoken here. */
+	parser->upgrade = 0;
+	if (is_confused(exchange) || parser->method == HTTP_CONNECT) {
+		counter_add(&malformed, 1);
+		refuse(conn, STATUS_BAD_REQUEST, "bad-request");
+		return -1;
+	}
+	if (parser->content_length != UINT64_MAX && parser->content_length &&
+	    !admit_body(conn, parser->content_length))
+		return -1;
+	invite_body(conn);
+	begin_wait(conn);
+	return 0;
+}
+
+static int on_body(http_parser *parser, const char *at, size_t size)
+{
+	struct http_conn *conn = conn_of(parser);
+
+	if (!admit_body(conn, size))
+		return -1;
+	buffer_append(&conn->reading->body, at, size);
+	exchange_hold(conn->reading, size);
+	begin_wait(conn);
+	return 0;
+}
+
+static int on_message(http_parser *parser)
+{
+	struct http_conn *conn = conn_of(parser);
+	struct http_exchange *exchange = conn->reading;
+
+	conn->reading = NULL;
+	exchange->keep_alive = http_should_keep_alive(parser);
+	exchange->state = EXCHANGE_QUEUED;
+	exchange->hand_over.run = hand_over_run;
+	exchange->hand_over.data = exchange;
+	loop_defer(conn->server->loop, &exchange->hand_over);
+	if (!exchange->keep_alive)
+		conn->state = CONN_PARTING;
+	/* Stop between two messages, to see whether the next one is taken. */
+	http_parser_pause(parser, 1);
+	return 0;
+}
+
+static const http_parser_settings settings = {
+	.on_message_begin = on_message_begin,
+	.on_url = on_url,
+	.on_header_field = on_name,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_message,
+};
+
+static bool head_too_large(const struct http_conn *conn)
+{
+	return conn->in_head &&
+	       conn->parser.nread > conn->server->options.max_head_bytes;
+}
+
+static void parse_failed(struct http_conn *conn)
+{
+	enum http_errno code = HTTP_PARSER_ERRNO(&conn->parser);
+
+	/* A callback has answered already. */
+	if (conn->state != CONN_OPEN)
+		return;
+	if (code == HPE_HEADER_OVERFLOW) {
+		refuse(conn, STATUS_HEAD_TOO_LARGE, "head-too-large");
+		return;
+	}
+	counter_add(&malformed, 1);
+	refuse(conn, STATUS_BAD_REQUEST, "bad-request");
+}
+
+/* Take one message or a part of it. Return: whether more may follow. */
+static bool parse_some(struct http_conn *conn)
+{
+	size_t size = buffer_size(&conn->in);
+	size_t used;
+
+	if (!size || conn->state != CONN_OPEN)
+		return false;
+	if (!conn->reading && conn->exchange_count >= CONN_PIPELINE_MAX)
+		return false;
+	http_parser_pause(&conn->parser, 0);
+	used = http_parser_execute(&conn->parser, &settings,
+				   (const char *)buffer_data(&conn->in), size);
+	buffer_consume(&conn->in, used < size ? used : size);
+	if (HTTP_PARSER_ERRNO(&conn->parser) == HPE_PAUSED)
+		return true;
+	if (HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK) {
+		parse_failed(conn);
+		return false;
+	}
+	if (head_too_large(conn))
+		refuse(conn, STATUS_HEAD_TOO_LARGE, "head-too-large");
+	return false;
+}
+
+/* Read no further than what can be worked on; a full pipeline holds the
+ * caller back by its own connection. */
+static void take_in(struct http_conn *conn)
+{
+	while (parse_some(conn))
+		;
+	if (conn->state != CONN_OPEN)
+		buffer_consume(&conn->in, buffer_size(&conn->in));
+	conn->stuck = buffer_size(&conn->in) > 0;
+	watch_again(conn);
+}
+
+static void resume_run(void *data)
+{
+	take_in(data);
+}
+
+/* Return: false if the connection has gone. */
+static bool read_in(struct http_conn *conn)
+{
+	int round;
+
+	for (round = 0; round < READ_ROUNDS && !conn->stuck; round++) {
+		size_t size = READ_BYTES;
+		enum net_result result = net_read(
+			conn->fd, buffer_reserve(&conn->in, size), &size);
+
+		if (result == NET_AGAIN)
+			return true;
+		if (result != NET_OK) {
+			conn_free(conn);
+			return false;
+		}
+		buffer_added(&conn->in, size);
+		if (conn->state == CONN_OPEN)
+			take_in(conn);
+		else
+			buffer_consume(&conn->in, buffer_size(&conn->in));
+		if (size < READ_BYTES)
+			return true;
+	}
+	return true;
+}
+
+/* Forget the exchanges whose answers have left. Return: false if the
+ * connection ended with the last of them. */
+static bool end_sent(struct http_conn *conn)
+{
+	struct http_exchange *exchange;
+	bool last = false;
+	bool cut = false;
+
+	while ((exchange = conn->exchanges) &&
+	       exchange->state == EXCHANGE_SENDING &&
+	       exchange->end_at <= conn->written) {
+		last = exchange->last;
+		cut = exchange->cut;
+		exchange_free(exchange);
+	}
+	if (cut) {
+		conn_free(conn);
+		return false;
+	}
+	if (last)
+		linger(conn);
+	else if (!conn->exchanges)
+		begin_wait(conn);
+	if (buffer_size(&conn->in))
+		loop_defer(conn->server->loop, &conn->resume);
+	return true;
+}
+
+static void write_out(struct http_conn *conn)
+{
+	while (buffer_size(&conn->out)) {
+		size_t size = buffer_size(&conn->out);
+		enum net_result result =
+			net_write(conn->fd, buffer_data(&conn->out), &size);
+
+		if (result == NET_AGAIN)
+			break;
+		if (result != NET_OK) {
+			conn_free(conn);
+			return;
+		}
+		buffer_consume(&conn->out, size);
+		conn->written += size;
+		begin_wait(conn);
+	}
+	if (end_sent(conn))
+		watch_again(conn);
+}
+
+static void flush_run(void *data)
+{
+	write_out(data);
+}
+
+void conn_replied(struct http_conn *conn)
+{
+	struct http_exchange *exchange;
+
+	DL_FOREACH(conn->exchanges, exchange) {
+		if (exchange->state == EXCHANGE_SENDING)
+			continue;
+		if (exchange->state != EXCHANGE_REPLIED)
+			break;
+		buffer_append(&conn->out, buffer_data(&exchange->reply),
+			      buffer_size(&exchange->reply));
+		conn->queued += buffer_size(&exchange->reply);
+		buffer_finish(&exchange->reply);
+		exchange->end_at = conn->queued;
+		exchange->state = EXCHANGE_SENDING;
+		/* What was sent behind it counts as unread. */
+		if (exchange->last) {
+			conn->state = CONN_PARTING;
+			break;
+		}
+	}
+	loop_defer_late(conn->server->loop, &conn->flush);
+}
+
+static void conn_ready(struct watch *watch, int ready, void *data)
+{
+	struct http_conn *conn = data;
+
+	if ((ready & LOOP_READ) && !read_in(conn))
+		return;
+	if (ready & LOOP_WRITE)
+		write_out(conn);
+}
+
+static void wait_over(struct http_conn *conn)
+{
+	if (conn->in_head && conn->state == CONN_OPEN) {
+		refuse(conn, STATUS_TIMEOUT, "head-timeout");
+		return;
+	}
+	conn_free(conn);
+}
+
+static void timer_expired(struct timer *timer, void *data)
+{
+	struct http_conn *conn = data;
+	int64_t limit_ms = wait_ms(conn);
+	int64_t at_us = conn->since_us + limit_ms * US_PER_MS;
+
+	if (limit_ms < 0)
+		return;
+	if (now(conn) < at_us)
+		timer_set(conn->server->loop, timer, at_us);
+	else
+		wait_over(conn);
+}
+
+void conn_new(struct http_server *server, int fd, const struct address *from)
+{
+	struct http_conn *conn = calloc(1, sizeof(*conn));
+	struct error err = ERROR_INIT;
+
+	if (!conn)
+		abort();
+	conn->server = server;
+	conn->fd = fd;
+	conn->from = *from;
+	conn->flush.run = flush_run;
+	conn->flush.data = conn;
+	conn->resume.run = resume_run;
+	conn->resume.data = conn;
+	timer_init(&conn->timer, timer_expired, conn);
+	http_parser_init(&conn->parser, HTTP_REQUEST);
+	conn->parser.data = conn;
+	DL_APPEND(server->conns, conn);
+	server->conn_count++;
+	if (!watch_start(&conn->watch, server->loop, fd, LOOP_READ, conn_ready,
+			 conn, &err)) {
+		conn_free(conn);
+		return;
+	}
+	begin_wait(conn);
+	/* The request mostly comes along with the connection. */
+	read_in(conn);
+}
--- /dev/null
+++ b/src/http/conn.h
@@ -0,0 +1,126 @@
+#ifndef HTTP_CONN_H
+#define HTTP_CONN_H
+
+#include <http_parser.h>
+
+#include "http/server.h"
+
+/**
+ * DOC: conn
+ *
+ * One connection of a caller and the exchanges on it. Private to the server.
+ */
+
+enum {
+	/* Requests behind one another that are worked on at once; those that
+	 * follow stay unread. */
+	CONN_PIPELINE_MAX = 32,
+	CONN_ARGUMENTS_MAX = 8,
+};
+
+enum exchange_state {
+	EXCHANGE_READING,
+	EXCHANGE_QUEUED,  /* the handler is about to be called */
+	EXCHANGE_PENDING, /* the handler has it */
+	EXCHANGE_REPLIED, /* waits for the answers before it */
+	EXCHANGE_SENDING, /* its answer lies in the connection's buffer */
+};
+
+/**
+ * struct http_exchange - one request and its answer
+ * @chunked: its body came without a length
+ * @last: the connection ends with this answer
+ * @cut: the connection breaks off after what @reply holds
+ * @refused: answered by the server itself; its body is not kept
+ * @end_at: place in the connection's output after its answer
+ */
+struct http_exchange {
+	struct http_server *server;
+	struct http_conn *conn;
+	struct http_exchange *next;
+	struct http_exchange *prev;
+	enum exchange_state state;
+	char method[24];
+	struct buffer target;
+	char *path;
+	char *arguments[CONN_ARGUMENTS_MAX];
+	uint32_t argument_count;
+	struct http_head head;
+	struct buffer body;
+	bool keep_alive;
+	bool last;
+	bool cut;
+	bool refused;
+	struct buffer reply;
+	uint64_t end_at;
+	size_t held_bytes;
+	int64_t started_us;
+	http_abort_fn *aborted;
+	void *aborted_data;
+	struct deferred hand_over;
+};
+
+enum conn_state {
+	CONN_OPEN,
+	CONN_PARTING,	/* reads no more requests; answers what there is */
+	CONN_LINGERING, /* all is said; drops what still comes */
+};
+
+/**
+ * struct http_conn - one connection
+ * @in: read, but not taken apart yet, because the pipeline is full
+ * @reading: the exchange whose message is being parsed, or NULL
+ * @exchanges: in the order of their requests, @reading included
+ * @queued: bytes put into @out so far; @written likewise
+ * @since_us: what the present wait counts from
+ * @timer: earliest moment at which the wait may be over
+ */
+struct http_conn {
+	struct http_server *server;
+	struct http_conn *next;
+	struct http_conn *prev;
+	enum conn_state state;
+	int fd;
+	struct address from;
+	struct watch watch;
+	struct timer timer;
+	struct deferred flush;
+	struct deferred resume;
+	http_parser parser;
+	struct buffer in;
+	struct http_exchange *reading;
+	struct http_exchange *exchanges;
+	uint32_t exchange_count;
+	bool in_head;
+	bool stuck;
+	struct buffer out;
+	uint64_t queued;
+	uint64_t written;
+	int64_t since_us;
+};
+
+/** conn_new() - take over an accepted descriptor. */
+void conn_new(struct http_server *server, int fd, const struct address *from);
+
+/** conn_free() - close at once; exchanges in progress are aborted. */
+void conn_free(struct http_conn *conn);
+
+/** conn_replied() - an exchange has its answer; send what can be sent. */
+void conn_replied(struct http_conn *conn);
+
+/** exchange_new() - a request begins on @conn. */
+struct http_exchange *exchange_new(struct http_conn *conn);
+
+void exchange_free(struct http_exchange *exchange);
+
+/** exchange_hold() - account for body bytes held for an exchange. */
+void exchange_hold(struct http_exchange *exchange, size_t size);
+
+/**
+ * exchange_refuse() - the server answers itself and ends the connection
+ * @reason: stable name, for the caller
+ */
+void exchange_refuse(struct http_exchange *exchange, unsigned int status,
+		     const char *reason);
+
+#endif
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -1,12 +1,20 @@
-#include "http/exchange.h"
-
 #include <assert.h>
-#include <netinet/in.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <utlist.h>
+
+#include "http/conn.h"
+#include "http/target.h"
+#include "os/clock.h"
 
-enum { CUT_BLOCK_BYTES = 4096 };
+enum {
+	STATUS_NO_CONTENT = 204,
+	STATUS_NOT_MODIFIED = 304,
+	STATUS_UNAVAILABLE = 503,
+	LINE_SIZE = 256,
+};
 
 static const char *const hop_by_hop[] = {
 	"Connection", "Keep-Alive",	   "Proxy-Authenticate",
@@ -24,24 +32,45 @@
 	return false;
 }
 
-/* The library runs once soon: something changed that it does not see. */
-static void run_soon(struct http_server *server)
+struct http_exchange *exchange_new(struct http_conn *conn)
 {
-	if (!server->stopping)
-		loop_defer_late(server->loop, &server->run);
+	struct http_exchange *exchange = calloc(1, sizeof(*exchange));
+
+	if (!exchange)
+		abort();
+	exchange->server = conn->server;
+	exchange->conn = conn;
+	exchange->started_us = clock_monotonic_us();
+	DL_APPEND(conn->exchanges, exchange);
+	conn->exchange_count++;
+	conn->server->exchange_count++;
+	return exchange;
 }
 
-void exchange_unwatch(struct http_exchange *exchange)
+void exchange_free(struct http_exchange *exchange)
 {
-	timer_cancel(exchange->server->loop, &exchange->watch_soon);
-	watch_stop(&exchange->hangup);
+	struct http_conn *conn = exchange->conn;
+	uint32_t i;
+
+	loop_defer_cancel(exchange->server->loop, &exchange->hand_over);
+	DL_DELETE(conn->exchanges, exchange);
+	conn->exchange_count--;
+	exchange->server->exchange_count--;
+	exchange->server->held_bytes -= exchange->held_bytes;
+	http_head_finish(&exchange->head);
+	buffer_finish(&exchange->target);
+	buffer_finish(&exchange->body);
+	buffer_finish(&exchange->reply);
+	for (i = 0; i < exchange->argument_count; i++)
+		free(exchange->arguments[i]);
+	free(exchange->path);
+	free(exchange);
 }
 
-void exchange_resume(struct http_exchange *exchange)
+void exchange_hold(struct http_exchange *exchange, size_t size)
 {
-	exchange_unwatch(exchange);
-	MHD_resume_connection(exchange->connection);
-	run_soon(exchange->server);
+	exchange->held_bytes += size;
+	exchange->server->held_bytes += size;
 }
 
 const char *http_exchange_method(const struct http_exchange *exchange)
@@ -56,35 +85,28 @@
 
 const char *http_exchange_target(const struct http_exchange *exchange)
 {
-	return exchange->target;
+	return (const char *)buffer_data(&exchange->target);
 }
 
 const char *http_exchange_query(const struct http_exchange *exchange,
 				const char *name)
 {
-	return MHD_lookup_connection_value(exchange->connection,
-					   MHD_GET_ARGUMENT_KIND, name);
+	/* The text is kept with the exchange, which is not changed by it. */
+	struct http_exchange *keeper = (struct http_exchange *)exchange;
+	char *value;
+
+	if (exchange->argument_count == CONN_ARGUMENTS_MAX)
+		return NULL;
+	value = http_target_argument(http_exchange_target(exchange), name);
+	if (value)
+		keeper->arguments[keeper->argument_count++] = value;
+	return value;
 }
 
 const char *http_exchange_header(const struct http_exchange *exchange,
 				 const char *name)
 {
-	return MHD_lookup_connection_value(exchange->connection,
-					   MHD_HEADER_KIND, name);
-}
-
-struct visitor {
-	void (*visit)(const char *name, const char *value, void *data);
-	void *data;
-};
-
-static enum MHD_Result visit_header(void *data, enum MHD_ValueKind kind,
-				    const char *name, const char *value)
-{
-	const struct visitor *visitor = data;
-
-	visitor->visit(name, value ? value : "", visitor->data);
-	return MHD_YES;
+	return http_head_find(&exchange->head, name);
 }
 
 void http_exchange_each_header(const struct http_exchange *exchange,
@@ -92,10 +114,12 @@
 					     const char *value, void *data),
 			       void *data)
 {
-	struct visitor visitor = { visit, data };
+	struct http_header headers[HTTP_FIELDS_MAX];
+	size_t count = http_head_split(&exchange->head, headers);
+	size_t i;
 
-	MHD_get_connection_values(exchange->connection, MHD_HEADER_KIND,
-				  visit_header, &visitor);
+	for (i = 0; i < count; i++)
+		visit(headers[i].name, headers[i].value, data);
 }
 
 const uint8_t *http_exchange_body(const struct http_exchange *exchange,
@@ -108,21 +132,8 @@
 void http_exchange_from(const struct http_exchange *exchange,
 			struct address *from)
 {
-	const union MHD_ConnectionInfo *info = MHD_get_connection_info(
-		exchange->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-	const struct sockaddr *name = info ? info->client_addr : NULL;
-
-	memset(from, 0, sizeof(*from));
-	if (!name)
-		return;
-	if (name->sa_family == AF_INET6) {
-		from->family = 6;
-		memcpy(from->ip,
-		       &((const struct sockaddr_in6 *)name)->sin6_addr, 16);
-		return;
-	}
-	from->family = 4;
-	memcpy(from->ip, &((const struct sockaddr_in *)name)->sin_addr, 4);
+	*from = exchange->conn->from;
+	from->port = 0;
 }
 
 int64_t http_exchange_started_us(const struct http_exchange *exchange)
@@ -137,106 +148,144 @@
 	exchange->aborted_data = data;
 }
 
-/* An answer to HEAD has no body: nothing is ever read. */
-static ssize_t read_nothing(void *data, uint64_t offset, char *out, size_t most)
+static void put_text(struct buffer *out, const char *text)
+{
+	buffer_append(out, text, strlen(text));
+}
+
+static void put_field(struct buffer *out, const char *name, const char *value)
+{
+	put_text(out, name);
+	put_text(out, ": ");
+	put_text(out, value);
+	put_text(out, "\r\n");
+}
+
+static const char *status_text(unsigned int status)
+{
+	return http_status_str((enum http_status)status);
+}
+
+static void put_status(struct buffer *out, unsigned int status)
+{
+	char line[LINE_SIZE];
+	int size = snprintf(line, sizeof(line), "HTTP/1.1 %u %s\r\n", status,
+			    status_text(status));
+
+	buffer_append(out, line, (size_t)size);
+}
+
+static bool is_head(const struct http_exchange *exchange)
 {
-	return MHD_CONTENT_READER_END_OF_STREAM;
+	return !strcmp(exchange->method, "HEAD");
 }
 
-static struct MHD_Response *new_response(const struct http_exchange *exchange,
-					 const struct http_header *headers,
-					 size_t header_count, const void *body,
-					 size_t size)
+/* The length that HEAD would have had is known to the upstream alone. */
+static const char *length_of_head(const struct http_header *headers,
+				  size_t count)
 {
 	size_t i;
 
-	for (i = 0; !strcmp(exchange->method, "HEAD") && i < header_count; i++)
+	for (i = 0; i < count; i++)
 		if (!strcasecmp(headers[i].name, "Content-Length"))
-			return MHD_create_response_from_callback(
-				strtoull(headers[i].value, NULL, 10),
-				CUT_BLOCK_BYTES, read_nothing, NULL, NULL);
-	return MHD_create_response_from_buffer(size, (void *)(uintptr_t)body,
-					       MHD_RESPMEM_MUST_COPY);
+			return headers[i].value;
+	return NULL;
 }
 
-void http_exchange_reply(struct http_exchange *exchange, unsigned int status,
-			 const struct http_header *headers, size_t header_count,
-			 const void *body, size_t size)
+static void put_length(struct http_exchange *exchange, unsigned int status,
+		       const struct http_header *headers, size_t count,
+		       size_t size)
+{
+	const char *told = is_head(exchange) ? length_of_head(headers, count)
+					     : NULL;
+	char length[32];
+
+	if (status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED)
+		return;
+	snprintf(length, sizeof(length), "%zu", size);
+	put_field(&exchange->reply, "Content-Length", told ? told : length);
+}
+
+static void put_head(struct http_exchange *exchange, unsigned int status,
+		     const struct http_header *headers, size_t count,
+		     size_t size)
 {
+	struct buffer *out = &exchange->reply;
 	size_t i;
 
-	assert(exchange->state == EXCHANGE_PENDING);
-	exchange->response =
-		new_response(exchange, headers, header_count, body, size);
-	if (!exchange->response)
-		abort();
-	for (i = 0; i < header_count; i++) {
-		if (http_hop_by_hop(headers[i].name) ||
-		    !strcasecmp(headers[i].name, "Content-Length"))
-			continue;
-		MHD_add_response_header(exchange->response, headers[i].name,
-					headers[i].value);
-	}
+	put_status(out, status);
+	for (i = 0; i < count; i++)
+		if (!http_hop_by_hop(headers[i].name) &&
+		    strcasecmp(headers[i].name, "Content-Length") != 0)
+			put_field(out, headers[i].name, headers[i].value);
+	put_length(exchange, status, headers, count, size);
 	/* A caller that keeps its connection would send its next request just
 	 * as this process ends, and learn nothing of what became of it. */
-	if (exchange->server->parting)
-		MHD_add_response_header(exchange->response, "Connection",
-					"close");
-	exchange->status = status;
-	exchange->reply_bytes = size;
-	exchange->server->held_bytes += size;
-	exchange->state = EXCHANGE_REPLIED;
-	exchange_resume(exchange);
+	if (exchange->server->parting || !exchange->keep_alive)
+		exchange->last = true;
+	if (exchange->last)
+		put_field(out, "Connection", "close");
+	put_text(out, "\r\n");
 }
 
-/* What http_exchange_reply_cut() sends; freed with the response. */
-struct cut_body {
-	size_t sent;
-	uint8_t bytes[];
-};
-
-static ssize_t read_cut(void *data, uint64_t offset, char *out, size_t most)
+static void replied(struct http_exchange *exchange)
 {
-	const struct cut_body *cut = data;
-	size_t left = cut->sent - offset;
-
-	if (offset >= cut->sent)
-		return MHD_CONTENT_READER_END_WITH_ERROR;
-	if (left > most)
-		left = most;
-	memcpy(out, cut->bytes + offset, left);
-	return (ssize_t)left;
+	exchange->state = EXCHANGE_REPLIED;
+	exchange->aborted = NULL;
+	exchange_hold(exchange, buffer_size(&exchange->reply));
+	conn_replied(exchange->conn);
 }
 
-static void free_cut(void *data)
+void http_exchange_reply(struct http_exchange *exchange, unsigned int status,
+			 const struct http_header *headers, size_t header_count,
+			 const void *body, size_t size)
 {
-	free(data);
+	assert(exchange->state == EXCHANGE_PENDING);
+	put_head(exchange, status, headers, header_count, size);
+	if (!is_head(exchange))
+		buffer_append(&exchange->reply, body, size);
+	replied(exchange);
 }
 
 void http_exchange_reply_cut(struct http_exchange *exchange,
 			     unsigned int status, const void *body, size_t size,
 			     size_t sent)
 {
-	struct cut_body *cut = malloc(sizeof(*cut) + sent);
-
-	if (!cut)
-		abort();
 	assert(exchange->state == EXCHANGE_PENDING && sent < size);
-	cut->sent = sent;
-	memcpy(cut->bytes, body, sent);
-	exchange->response = MHD_create_response_from_callback(
-		size, CUT_BLOCK_BYTES, read_cut, cut, free_cut);
-	if (!exchange->response)
-		abort();
-	exchange->status = status;
-	exchange->state = EXCHANGE_REPLIED;
-	exchange_resume(exchange);
+	put_head(exchange, status, NULL, 0, size);
+	buffer_append(&exchange->reply, body, sent);
+	exchange->last = true;
+	exchange->cut = true;
+	replied(exchange);
+}
+
+void exchange_refuse(struct http_exchange *exchange, unsigned int status,
+		     const char *reason)
+{
+	char text[LINE_SIZE];
+	int size = snprintf(text, sizeof(text),
+			    "{\"error\":\"%s\",\"verdict\":\"not-run\"}\n",
+			    reason);
+	const struct http_header headers[] = {
+		{ "Content-Type", "application/json" },
+		{ "Geraniumplank-Verdict", "not-run" },
+		{ "Geraniumplank-Reason", reason },
+		{ "Retry-After", "1" },
+	};
+	size_t count = sizeof(headers) / sizeof(headers[0]);
+
+	if (status != STATUS_UNAVAILABLE)
+		count--;
+	exchange->refused = true;
+	exchange->last = true;
+	exchange->state = EXCHANGE_PENDING;
+	http_exchange_reply(exchange, status, headers, count, text,
+			    (size_t)size);
 }
 
 void http_exchange_close(struct http_exchange *exchange)
 {
 	assert(exchange->state == EXCHANGE_PENDING);
 	exchange->aborted = NULL;
-	exchange->state = EXCHANGE_ABORTED;
-	exchange_resume(exchange);
+	conn_free(exchange->conn);
 }
--- /dev/null
+++ b/src/http/head.c
@@ -0,0 +1,106 @@
+#include "http/head.h"
+
+#include <string.h>
+#include <strings.h>
+
+void http_head_reset(struct http_head *head)
+{
+	buffer_consume(&head->fields, buffer_size(&head->fields));
+	head->count = 0;
+	head->value_at = 0;
+	head->in_value = false;
+	head->begun = false;
+}
+
+void http_head_finish(struct http_head *head)
+{
+	buffer_finish(&head->fields);
+	http_head_reset(head);
+}
+
+/* Blanks after a value do not belong to it. */
+static void end_value(struct http_head *head)
+{
+	const uint8_t *data = buffer_data(&head->fields);
+	size_t size = buffer_size(&head->fields);
+
+	while (size > head->value_at &&
+	       (data[size - 1] == ' ' || data[size - 1] == '\t'))
+		size--;
+	buffer_drop(&head->fields, buffer_size(&head->fields) - size);
+	buffer_append(&head->fields, "", 1);
+	head->count++;
+	head->begun = false;
+	head->in_value = false;
+}
+
+void http_head_name(struct http_head *head, const char *at, size_t size)
+{
+	if (head->in_value)
+		end_value(head);
+	head->begun = true;
+	buffer_append(&head->fields, at, size);
+}
+
+void http_head_value(struct http_head *head, const char *at, size_t size)
+{
+	if (!head->in_value) {
+		buffer_append(&head->fields, "", 1);
+		head->value_at = buffer_size(&head->fields);
+		head->in_value = true;
+	}
+	buffer_append(&head->fields, at, size);
+}
+
+void http_head_end(struct http_head *head)
+{
+	if (!head->begun)
+		return;
+	if (!head->in_value)
+		http_head_value(head, "", 0);
+	end_value(head);
+}
+
+size_t http_head_split(const struct http_head *head,
+		       struct http_header headers[HTTP_FIELDS_MAX])
+{
+	const char *at = (const char *)buffer_data(&head->fields);
+	size_t i;
+
+	for (i = 0; i < head->count && i < HTTP_FIELDS_MAX; i++) {
+		headers[i].name = at;
+		at += strlen(at) + 1;
+		headers[i].value = at;
+		at += strlen(at) + 1;
+	}
+	return i;
+}
+
+uint32_t http_head_count(const struct http_head *head, const char *name)
+{
+	const char *at = (const char *)buffer_data(&head->fields);
+	uint32_t found = 0;
+	uint32_t i;
+
+	for (i = 0; i < head->count; i++) {
+		found += !strcasecmp(at, name);
+		at += strlen(at) + 1;
+		at += strlen(at) + 1;
+	}
+	return found;
+}
+
+const char *http_head_find(const struct http_head *head, const char *name)
+{
+	const char *at = (const char *)buffer_data(&head->fields);
+	uint32_t i;
+
+	for (i = 0; i < head->count; i++) {
+		const char *value = at + strlen(at) + 1;
+
+		if (!strcasecmp(at, name))
+			return value;
+		at = value + strlen(value) + 1;
+	}
+	return NULL;
+}
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -9,26 +9,25 @@
 #include "base/buffer.h"
 #include "base/error.h"
 #include "event/loop.h"
+#include "http/head.h"
 
 /**
  * DOC: http server
  *
- * libmicrohttpd on the process's own loop, without threads: the library's
- * epoll descriptor is watched like any other. A request is handed over once
- * its body is whole; the answer may be given at any later time.
+ * HTTP/1.1 on the process's own loop; messages are taken apart by a parser
+ * library. A request is handed over once its body is whole; the answer may be
+ * given at any later time. Requests that come behind one another on one
+ * connection are worked on at the same time and answered in their order.
+ *
+ * A request whose length is told in two ways, or twice, is refused and its
+ * connection closed: this process and the upstream could disagree about where
+ * it ends, and what one takes for its body the other would run as a request.
  */
 
-struct MHD_Daemon;
-struct MHD_Connection;
+struct http_conn;
 struct http_server;
 struct http_exchange;
 
-/** struct http_header - one header field. */
-struct http_header {
-	const char *name;
-	const char *value;
-};
-
 /**
  * typedef http_handler_fn - a whole request has come
  *
@@ -47,6 +46,10 @@
 /**
  * struct http_server_options - how to serve
  * @address: port 0 takes one from the kernel
+ * @max_head_bytes: of the head of one request; 0 for the default
+ * @head_timeout_ms: from the first byte of a head to its end; 0 likewise
+ * @idle_timeout_ms: without a request in progress, or without a byte of a
+ *	body that is coming
  * @max_body_bytes: of one request
  * @held_bytes_max: of all bodies held at once, those of answers that callers
  *	have not read yet included; past it bodies of requests are refused;
@@ -54,6 +57,8 @@
  */
 struct http_server_options {
 	struct address address;
+	size_t max_head_bytes;
+	int64_t head_timeout_ms;
 	size_t max_body_bytes;
 	size_t held_bytes_max;
 	uint32_t max_connections;
@@ -62,24 +67,41 @@
 	void *data;
 };
 
+/**
+ * struct http_server - one listening address
+ * @exchange_count: requests whose answer has not left yet
+ * @held_bytes: of bodies, both ways
+ * @parting: each answer ends its connection
+ */
 struct http_server {
 	struct loop *loop;
 	struct http_server_options options;
-	struct MHD_Daemon *daemon;
+	struct address address;
+	int fd;
 	struct watch watch;
-	struct timer timer;
-	struct deferred run;
-	struct http_exchange *exchanges;
+	struct http_conn *conns;
+	uint32_t conn_count;
 	uint32_t exchange_count;
-	size_t held_bytes; /* of bodies, both ways */
+	size_t held_bytes;
 	bool parting;
-	bool stopping;
+};
+
+/** struct http_server_limits - see struct http_server_options. */
+struct http_server_limits {
+	size_t max_head_bytes;
+	size_t max_body_bytes;
+	int64_t head_timeout_ms;
+	int64_t idle_timeout_ms;
 };
 
 bool http_server_init(struct http_server *server, struct loop *loop,
 		      const struct http_server_options *options,
 		      struct error *err);
 
+/** http_server_set_limits() - for requests that begin from now on. */
+void http_server_set_limits(struct http_server *server,
+			    const struct http_server_limits *limits);
+
 /**
  * http_server_quiesce() - take no more connections, serve those there are
  *
--- /dev/null
+++ b/src/http/target.c
@@ -0,0 +1,62 @@
+#include "http/target.h"
+
+#include <ctype.h>
+#include <stdlib.h>
+#include <string.h>
+
+static int digit_of(char c)
+{
+	if (!isxdigit((unsigned char)c))
+		return -1;
+	return isdigit((unsigned char)c) ? c - '0'
+					 : tolower((unsigned char)c) - 'a' + 10;
+}
+
+/* What is no escape stays as it is. */
+static char *decode(const char *text, size_t size, bool plus_is_blank)
+{
+	char *out = malloc(size + 1);
+	size_t used = 0;
+	size_t i;
+
+	if (!out)
+		abort();
+	for (i = 0; i < size; i++) {
+		if (text[i] == '%' && i + 2 < size &&
+		    digit_of(text[i + 1]) >= 0 && digit_of(text[i + 2]) >= 0) {
+			out[used++] = (char)(digit_of(text[i + 1]) * 16 +
+					     digit_of(text[i + 2]));
+			i += 2;
+		} else if (plus_is_blank && text[i] == '+') {
+			out[used++] = ' ';
+		} else {
+			out[used++] = text[i];
+		}
+	}
+	out[used] = '\0';
+	return out;
+}
+
+char *http_target_path(const char *target)
+{
+	return decode(target, strcspn(target, "?"), false);
+}
+
+char *http_target_argument(const char *target, const char *name)
+{
+	const char *at = strchr(target, '?');
+	size_t wanted = strlen(name);
+
+	while (at && *at) {
+		size_t size = strcspn(++at, "&");
+		size_t key = strcspn(at, "=&");
+
+		if (key == wanted && !strncmp(at, name, key))
+			return at[key] == '='
+				       ? decode(at + key + 1, size - key - 1,
+						true)
+				       : decode("", 0, true);
+		at += size;
+	}
+	return NULL;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -1,5 +1,4 @@
 #include <apr_general.h>
-#include <curl/curl.h>
 #include <sodium.h>
 #include <stdio.h>
 
@@ -10,13 +9,11 @@
 {
 	int status;
 
-	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0 ||
-	    curl_global_init(CURL_GLOBAL_DEFAULT) != CURLE_OK) {
+	if (apr_initialize() != APR_SUCCESS || sodium_init() < 0) {
 		fprintf(stderr, "geraniumplank: cannot set up its libraries\n");
 		return EXIT_STATUS_FAILED;
 	}
 	status = commands_run(argc, argv);
-	curl_global_cleanup();
 	apr_terminate();
 	return status;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -76,7 +76,7 @@
 		 settings->node.instance);
 	/* A process that is replaced must be told from its predecessor, and
 	 * its word must count more: hence the wall clock. */
-	self.incarnation = (uint64_t)clock_wall_ms();
+	self.incarnation = identity_incarnation(clock_wall_ms(), node_seed());
 	wire_key_init(&key, settings->peers.secret, settings->node.deployment);
 	return wire_hub_init(&node->hub, &node->loop, &self, &key, err);
 }
--- a/src/os/net.c
+++ b/src/os/net.c
@@ -11,7 +11,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-enum { LISTEN_BACKLOG = 512 };
+enum {
+	LISTEN_BACKLOG = 512,
+	/* Three seconds until a silent connection is given up: below it a
+	 * short loss of packets would end connections that are well. */
+	GUARD_IDLE_S = 1,
+	GUARD_INTERVAL_S = 1,
+	GUARD_PROBES = 2,
+	GUARD_UNCONFIRMED_MS = 3000,
+};
 
 static socklen_t to_sockaddr(const struct address *address,
 			     struct sockaddr_storage *out)
@@ -254,6 +262,27 @@
 	return result;
 }
 
+void net_guard(int fd)
+{
+	const struct {
+		int level;
+		int name;
+		int value;
+	} options[] = {
+		{ SOL_SOCKET, SO_KEEPALIVE, 1 },
+		{ IPPROTO_TCP, TCP_KEEPIDLE, GUARD_IDLE_S },
+		{ IPPROTO_TCP, TCP_KEEPINTVL, GUARD_INTERVAL_S },
+		{ IPPROTO_TCP, TCP_KEEPCNT, GUARD_PROBES },
+		{ IPPROTO_TCP, TCP_USER_TIMEOUT, GUARD_UNCONFIRMED_MS },
+	};
+	size_t i;
+
+	/* A connection without this still has the bounds of its user. */
+	for (i = 0; i < sizeof(options) / sizeof(options[0]); i++)
+		(void)setsockopt(fd, options[i].level, options[i].name,
+				 &options[i].value, sizeof(int));
+}
+
 void net_close(int fd)
 {
 	if (fd >= 0)
--- a/src/wire/identity.c
+++ b/src/wire/identity.c
@@ -3,6 +3,10 @@
 #include <sodium.h>
 #include <string.h>
 
+/* Room for the time by the millisecond in the bits that are left, for three
+ * centuries. */
+enum { INCARNATION_RANDOM_BITS = 20 };
+
 void wire_key_init(struct wire_key *key, const char *secret,
 		   const char *deployment)
 {
@@ -63,3 +67,10 @@
 	wire_seal(key, data, size, expected);
 	return sodium_memcmp(expected, seal, SEAL_BYTES) == 0;
 }
+
+uint64_t identity_incarnation(int64_t wall_ms, uint64_t random)
+{
+	uint64_t mask = ((uint64_t)1 << INCARNATION_RANDOM_BITS) - 1;
+
+	return (uint64_t)wall_ms << INCARNATION_RANDOM_BITS | (random & mask);
+}
--- a/src/wire/identity.h
+++ b/src/wire/identity.h
@@ -77,4 +77,12 @@
 bool wire_seal_valid(const struct wire_key *key, const void *data, size_t size,
 		     const uint8_t seal[SEAL_BYTES]);
 
+/**
+ * identity_incarnation() - a number for one start of a process
+ * @wall_ms: by the wall clock, so that later starts have higher numbers
+ * @random: unpredictable; tells apart nodes that start in the same
+ *	millisecond, whose calls would be taken for one another's otherwise
+ */
+uint64_t identity_incarnation(int64_t wall_ms, uint64_t random);
+
 #endif
