--- a/src/call/announce.c
+++ b/src/call/announce.c
@@ -302,8 +302,7 @@
 {
 	if (!starts_correct(&announce->starts, id) || !announce->present)
 		return;
-	log_warn(slice, "upstream_corrected",
-		 LOG_TEXT("start", id),
+	log_warn(slice, "upstream_corrected", LOG_TEXT("start", id),
 		 LOG_TEXT("announced", announce->current.id));
 	snprintf(announce->current.id, sizeof(announce->current.id), "%s", id);
 	announce->options.changed(&announce->current, announce->options.data);
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -76,9 +76,9 @@
 			call->started_us + kind->deadline_ms * US_PER_MS;
 	latest_us = call->started_us + call->caller->options.deadline_max_us;
 	if (kind->timeout_ms)
-		latest_us = min_us(latest_us, call->started_us +
-						      kind->timeout_ms *
-							      US_PER_MS);
+		latest_us =
+			min_us(latest_us,
+			       call->started_us + kind->timeout_ms * US_PER_MS);
 	terms->deadline_us = min_us(terms->deadline_us, latest_us);
 	/* A call made for another one is worth what that one is worth: the
 	 * look-ups that a publican's request is made of weigh nothing by
@@ -213,7 +213,8 @@
 	miss = match_route(caller, exchange, &intake, &match);
 	if (miss != ROUTE_FOUND) {
 		intake_finish(&intake);
-		refuse(caller, exchange, reason_of_miss(miss), route_miss_text(miss));
+		refuse(caller, exchange, reason_of_miss(miss),
+		       route_miss_text(miss));
 		return;
 	}
 	begin_call(call_new(caller, exchange, &intake, &match));
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -202,8 +202,7 @@
 			 LOG_TEXT("verdict", verdict_name(outcome.verdict)),
 			 LOG_TEXT("reason", call_reason_name(outcome.reason)));
 		reply_refusal(call->exchange, call->caller->options.names,
-			      &outcome,
-			      call->intake.terms.request_id, NULL);
+			      &outcome, call->intake.terms.request_id, NULL);
 	}
 	call_free(call);
 }
--- a/src/call/reply.c
+++ b/src/call/reply.c
@@ -35,8 +35,7 @@
 	size_t count = headers_split(&answer->headers, headers);
 
 	if (!names->passes_request_id) {
-		add(headers, &count, names->verdict,
-		    verdict_name(VERDICT_RAN));
+		add(headers, &count, names->verdict, verdict_name(VERDICT_RAN));
 		add(headers, &count, names->request_id, answer->request_id);
 	}
 	add(headers, &count, names->upstream, answer->upstream);
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -120,7 +120,8 @@
 	struct server *server = serving->server;
 	int64_t now_us = clock_monotonic_us();
 	int64_t took_us = now_us - serving->sent_us;
-	struct upstream_judgement judgement = upstream_judge(server->options.names, answer);
+	struct upstream_judgement judgement =
+		upstream_judge(server->options.names, answer);
 	struct kept_answer *kept = NULL;
 	size_t kept_bytes = 0;
 
@@ -129,8 +130,9 @@
 	gate_done(server->options.gate, &serving->gate, judgement.lesson,
 		  took_us, now_us);
 	if (judgement.answered)
-		kept = upstream_keep(server->options.names, answer, !strcmp(serving->method, "HEAD"),
-				     took_us, &kept_bytes);
+		kept = upstream_keep(server->options.names, answer,
+				     !strcmp(serving->method, "HEAD"), took_us,
+				     &kept_bytes);
 	else
 		log_info(slice, "no_answer",
 			 LOG_TEXT("request", serving->terms.request_id),
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -150,7 +150,8 @@
 }
 
 struct kept_answer *upstream_keep(const struct call_names *names,
-				  const struct http_answer *answer, bool head_only, int64_t service_us,
+				  const struct http_answer *answer,
+				  bool head_only, int64_t service_us,
 				  size_t *size)
 {
 	size_t headers_bytes = headers_size(names, answer, head_only);
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -316,10 +316,9 @@
 		transfer->written = true;
 		buffer_consume(out, size);
 	}
-	watch_change(&conn->watch,
-		     buffer_size(out) && !transfer->write_failed
-			     ? LOOP_READ | LOOP_WRITE
-			     : LOOP_READ);
+	watch_change(&conn->watch, buffer_size(out) && !transfer->write_failed
+					   ? LOOP_READ | LOOP_WRITE
+					   : LOOP_READ);
 }
 
 static void connected(struct client_conn *conn)
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -19,6 +19,7 @@
 	STATUS_TIMEOUT = 408,
 	STATUS_TOO_LARGE = 413,
 	STATUS_HEAD_TOO_LARGE = 431,
+	STATUS_NOT_IMPLEMENTED = 501,
 	STATUS_UNAVAILABLE = 503,
 };
 
@@ -86,6 +87,8 @@
 	http_abort_fn *aborted = exchange->aborted;
 
 	exchange->aborted = NULL;
+	if (exchange->server->stopping)
+		return;
 	if (exchange->state == EXCHANGE_PENDING && aborted)
 		aborted(exchange, exchange->aborted_data);
 	if (exchange->state == EXCHANGE_PENDING ||
@@ -229,8 +232,7 @@
 static void invite_body(struct http_conn *conn)
 {
 	static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
-	const char *expect =
-		http_head_find(&conn->reading->head, "Expect");
+	const char *expect = http_head_find(&conn->reading->head, "Expect");
 
 	if (!expect || conn->exchanges != conn->reading ||
 	    buffer_size(&conn->out))
@@ -247,8 +249,8 @@
 
 	http_head_end(&exchange->head);
 	buffer_append(&exchange->target, "", 1);
-	exchange->path = http_target_path(
-		(const char *)buffer_data(&exchange->target));
+	exchange->path =
+		http_target_path((const char *)buffer_data(&exchange->target));
 	snprintf(exchange->method, sizeof(exchange->method), "%s",
 		 http_method_str((enum http_method)parser->method));
 	conn->in_head = false;
@@ -325,7 +327,10 @@
 		return;
 	}
 	counter_add(&malformed, 1);
-	refuse(conn, STATUS_BAD_REQUEST, "bad-request");
+	if (code == HPE_INVALID_METHOD)
+		refuse(conn, STATUS_NOT_IMPLEMENTED, "bad-method");
+	else
+		refuse(conn, STATUS_BAD_REQUEST, "bad-request");
 }
 
 /* Take one message or a part of it. Return: whether more may follow. */
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -99,6 +99,7 @@
 {
 	if (!server->loop)
 		return;
+	server->stopping = true;
 	watch_stop(&server->watch);
 	net_close(server->fd);
 	while (server->conns)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -72,6 +72,7 @@
  * @exchange_count: requests whose answer has not left yet
  * @held_bytes: of bodies, both ways
  * @parting: each answer ends its connection
+ * @stopping: nobody is told of aborted exchanges any more
  */
 struct http_server {
 	struct loop *loop;
@@ -84,6 +85,7 @@
 	uint32_t exchange_count;
 	size_t held_bytes;
 	bool parting;
+	bool stopping;
 };
 
 /** struct http_server_limits - see struct http_server_options. */
@@ -117,7 +119,7 @@
  */
 void http_server_part(struct http_server *server);
 
-/** http_server_finish() - cut what is still open. */
+/** http_server_finish() - cut what is still open, without a word to anybody. */
 void http_server_finish(struct http_server *server);
 
 /** http_server_address() - where it listens, the real port included. */
--- a/src/http/target.c
+++ b/src/http/target.c
@@ -52,10 +52,9 @@
 		size_t key = strcspn(at, "=&");
 
 		if (key == wanted && !strncmp(at, name, key))
-			return at[key] == '='
-				       ? decode(at + key + 1, size - key - 1,
-						true)
-				       : decode("", 0, true);
+			return at[key] == '=' ? decode(at + key + 1,
+						       size - key - 1, true)
+					      : decode("", 0, true);
 		at += size;
 	}
 	return NULL;
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -27,8 +27,8 @@
 
 		snprintf(line, sizeof(line), "%.*s",
 			 length < sizeof(line) ? (int)length : 0, text);
-		directory->count += parse_line(
-			line, &directory->entries[directory->count]);
+		directory->count +=
+			parse_line(line, &directory->entries[directory->count]);
 		text += length + 1;
 	}
 }
--- a/src/node/command_local.c
+++ b/src/node/command_local.c
@@ -16,9 +16,8 @@
 	"it takes no new work, ends what is in progress and leaves. Nothing\n"
 	"starts if the settings have a fault; all faults are printed.";
 
-/* Where the settings are found if nobody says so. */
+/* Names the file of settings where the command line does not. */
 #define SETTINGS_VARIABLE "GERANIUMPLANK_SETTINGS"
-#define SETTINGS_PATH "/etc/geraniumplank/node.toml"
 
 static const char settings_summary[] =
 	"Prints every setting of a node: key, type, unit, default, meaning.";
@@ -37,13 +36,28 @@
 			faults->count - shown);
 }
 
+/* Return: false, with a message printed, if nobody names the settings. */
+static bool has_path(const char *path)
+{
+	if (path)
+		return true;
+	fputs("node: missing option -s|--settings=FILE, or " SETTINGS_VARIABLE
+	      " in the environment\n",
+	      stderr);
+	return false;
+}
+
 static int run_node(const char *path)
 {
-	struct faults *faults = calloc(1, sizeof(*faults));
-	struct settings *settings = calloc(1, sizeof(*settings));
+	struct faults *faults;
+	struct settings *settings;
 	struct error err = ERROR_INIT;
 	int status = EXIT_STATUS_INVALID;
 
+	if (!has_path(path))
+		return EXIT_STATUS_USAGE;
+	faults = calloc(1, sizeof(*faults));
+	settings = calloc(1, sizeof(*settings));
 	if (!faults || !settings)
 		abort();
 	if (settings_load(settings, path, faults, &err))
@@ -70,9 +84,7 @@
 	arguments_init(&args, "node", node_summary, ARGUMENTS_LOCAL);
 	arguments_add(&args, file);
 	if (arguments_parse(&args, argc, argv, &status))
-		status = run_node(file->count ? file->sval[0]
-				  : path      ? path
-					      : SETTINGS_PATH);
+		status = run_node(file->count ? file->sval[0] : path);
 	arguments_finish(&args);
 	return status;
 }
--- a/src/node/lookup.c
+++ b/src/node/lookup.c
@@ -61,9 +61,8 @@
 			look_in(lookup, SETTLED_MS);
 		return;
 	}
-	look_in(lookup, lookup->wait_ms / 2 +
-				random_jitter(&lookup->random,
-					      lookup->wait_ms));
+	look_in(lookup, lookup->wait_ms / 2 + random_jitter(&lookup->random,
+							    lookup->wait_ms));
 	lookup->wait_ms *= 2;
 	if (lookup->wait_ms > LONELY_MOST_MS)
 		lookup->wait_ms = LONELY_MOST_MS;
@@ -156,7 +155,8 @@
 	/* Another node was faster, or the answer was lost: the next look
 	 * tells. Without a jitter the same nodes would meet again. */
 	if (result->reason == STORE_CHANGED)
-		look_in(lookup, 1 + random_jitter(&lookup->random, CONFLICT_MS));
+		look_in(lookup,
+			1 + random_jitter(&lookup->random, CONFLICT_MS));
 	else
 		look_later(lookup);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -232,9 +232,9 @@
 	struct operator_options operators = {
 		.address = settings->listen.operator_,
 		.editor = node->has_source &&
-				  settings->node.form == INTERFACE_OWN
-			  ? &node->editor
-			  : NULL,
+					  settings->node.form == INTERFACE_OWN
+				  ? &node->editor
+				  : NULL,
 		.token = settings->operator_.token,
 		.instance = settings->node.instance,
 	};
--- a/src/node/reload.c
+++ b/src/node/reload.c
@@ -41,7 +41,8 @@
 	if (!faults || !settings)
 		abort();
 	if (!settings_load(settings, node->settings_path, faults, &err)) {
-		log_error(slice, "reload_refused", LOG_TEXT("reason", err.text));
+		log_error(slice, "reload_refused",
+			  LOG_TEXT("reason", err.text));
 	} else {
 		take_seeds(node, &settings->peers);
 		log_info(slice, "reloaded",
--- a/src/profile/profile_parse.c
+++ b/src/profile/profile_parse.c
@@ -473,9 +473,9 @@
 
 	if (!list || list->type != TOML_ARRAY)
 		return;
-	profile->host_routes =
-		new_items(list, "host_route", PROFILE_HOST_ROUTES_MAX,
-			  sizeof(*profile->host_routes), faults);
+	profile->host_routes = new_items(list, "host_route",
+					 PROFILE_HOST_ROUTES_MAX,
+					 sizeof(*profile->host_routes), faults);
 	for (node = list->first_child;
 	     node && profile->host_route_count < PROFILE_HOST_ROUTES_MAX;
 	     node = node->next)
--- a/src/route/hosts.c
+++ b/src/route/hosts.c
@@ -12,9 +12,9 @@
 {
 	size_t i;
 
+	memset(name, 0, HOST_SIZE);
 	for (i = 0; i + 1 < HOST_SIZE && host[i] && host[i] != ':'; i++)
 		name[i] = (char)tolower((unsigned char)host[i]);
-	name[i] = '\0';
 }
 
 static struct host *host_get(struct host_table *table, const char *name)
