gate, call: serve in time first, late answers behind them

Ruled out: processor time (0.011 cores), the number of tries. Now a gate lets in only what it can answer in time, strictly by rank; when no gate can, the least loaded one is asked for a late answer, behind all that is in time. What a gate turns away costs neither attempt nor token.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -57,14 +57,28 @@
 	return verdict_join(attempt->earlier, VERDICT_MAY_HAVE_RUN);
 }
 
-/* Whether a try cost no upstream anything: it was lost on the way, and that
- * is proved. One silent connection loses all that was on it at once; if each
- * of those needed a token, most would fail for want of them, although the
- * tokens are there to spare upstreams and none has seen these requests. */
+/* Whether a try cost no upstream anything: it was lost on the way, or turned
+ * away beside the upstream, and that is proved. One silent connection loses
+ * all that was on it at once; if each of those needed a token, most would fail
+ * for want of them, although the tokens are there to spare upstreams and none
+ * has seen these requests. */
 static bool is_free(enum verdict verdict, enum call_reason reason)
 {
-	return verdict == VERDICT_NOT_RUN &&
-	       (reason == CALL_NEVER_SEEN || reason == CALL_PEER_LOST);
+	if (verdict != VERDICT_NOT_RUN)
+		return false;
+	switch (reason) {
+	case CALL_NEVER_SEEN:
+	case CALL_PEER_LOST:
+	case CALL_WRONG_SERVICE:
+	case CALL_GATE_CLOSED:
+	case CALL_GATE_LEAVING:
+	case CALL_GATE_FULL:
+	case CALL_GATE_LATE:
+	case CALL_GATE_SHARE:
+		return true;
+	default:
+		return false;
+	}
 }
 
 static bool may_try_again(struct attempt *attempt, bool is_free_try,
@@ -80,6 +94,7 @@
 	struct retry_budget unspent = { .tokens = 1, .most = 1 };
 
 	return attempt->earlier != VERDICT_RAN &&
+	       attempt->tries < CALL_ATTEMPTS_MAX &&
 	       retry_decide(is_free_try ? &unspent : attempt->budget,
 			    &request) == RETRY_AGAIN;
 }
@@ -95,7 +110,10 @@
 	attempt->state = ATTEMPT_IDLE;
 	attempt->earlier = verdict_join(attempt->earlier, verdict);
 	if (verdict == VERDICT_NOT_RUN && attempt->taken)
-		retry_chain_return(&attempt->chain, attempt->taken - 1);
+		retry_chain_return(&attempt->chain,
+				   is_free(verdict, reason)
+					   ? attempt->taken
+					   : attempt->taken - 1);
 	attempt->taken = 0;
 	if (may_try_again(attempt, is_free(verdict, reason), now_us))
 		return again;
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -10,6 +10,12 @@
 
 static const char slice[] = "call";
 
+/* Service times vary; half as much again lets most answers come in time. */
+#define SERVICE_MARGIN 1.5
+
+/* Each costs a way there and back; after so many a late answer is better. */
+enum { IN_TIME_TRIES_MAX = 4 };
+
 COUNTER(ran, "call.ran", "Calls answered with the upstream's whole answer");
 COUNTER(not_run, "call.not_run", "Calls refused that did not run");
 COUNTER(may_have_run, "call.may_have_run",
@@ -95,15 +101,47 @@
 	call_step(call, &event);
 }
 
+/* How long a request may wait and still be answered in time. */
+static int64_t wait_max_us(const struct call *call)
+{
+	double service_us = call->match.pool->service_us;
+	int64_t left_us = call->due_us - now(call->caller);
+	int64_t wait_us = left_us - (int64_t)(service_us * SERVICE_MARGIN);
+
+	return wait_us > 0 ? wait_us : 0;
+}
+
+static struct endpoint *pick_endpoint(struct call *call)
+{
+	struct caller *caller = call->caller;
+	struct pick pick = { .match = &call->match,
+			     .tried = call->tried,
+			     .tried_count = call->tried_count,
+			     .now_us = now(caller) };
+	struct endpoint *endpoint = NULL;
+
+	if (call->pass == CALL_REFUSED)
+		return NULL;
+	if (call->pass == CALL_IN_TIME && call->due_us > pick.now_us &&
+	    call->attempt.tries < IN_TIME_TRIES_MAX) {
+		pick.untried_only = true;
+		pick.wait_max_us = wait_max_us(call);
+		endpoint = router_pick(caller->options.router, &pick);
+	}
+	if (endpoint)
+		return endpoint;
+	if (call->due_us)
+		call->pass = CALL_LATE;
+	pick.untried_only = false;
+	pick.wait_max_us = 0;
+	return router_pick(caller->options.router, &pick);
+}
+
 void call_begin_try(struct call *call)
 {
 	struct caller *caller = call->caller;
-	const struct pick pick = { .match = &call->match,
-				   .tried = call->tried,
-				   .tried_count = call->tried_count,
-				   .now_us = now(caller) };
 
-	call->endpoint = router_pick(caller->options.router, &pick);
+	call->endpoint = pick_endpoint(call);
 	if (!call->endpoint) {
 		call_step_simple(call, ATTEMPT_EVENT_NO_ENDPOINT,
 				 call->refusal.reason ? call->refusal.reason
@@ -278,6 +316,14 @@
 	}
 }
 
+/* Whether the gate is open, but has no room for the request. */
+static bool is_turned_away(const struct call_outcome *outcome)
+{
+	return outcome->reason == CALL_GATE_FULL ||
+	       outcome->reason == CALL_GATE_LATE ||
+	       outcome->reason == CALL_GATE_SHARE;
+}
+
 static void refused(struct call *call, const struct call_refusal *refusal)
 {
 	const struct attempt_event event = {
@@ -287,6 +333,8 @@
 	};
 
 	call->refusal = refusal->outcome;
+	if (call->pass == CALL_LATE && is_turned_away(&refusal->outcome))
+		call->pass = CALL_REFUSED;
 	call_leave_endpoint(call, lesson_of(&refusal->outcome), refusal->load);
 	call_step(call, &event);
 }
--- a/src/call/frames.c
+++ b/src/call/frames.c
@@ -6,7 +6,7 @@
 	MILLI = 1000,
 	LOAD_MAX = 1000 * MILLI,
 	BODY_MAX_BYTES = 1 << 30,
-	REQUEST_FIELDS = 15,
+	REQUEST_FIELDS = 16,
 	ANSWER_FIELDS = 6,
 	REFUSAL_FIELDS = 4,
 	PART_FIELDS = 2,
@@ -83,6 +83,8 @@
 	encode_run(encoder, &request->headers);
 	encode_uint(encoder, request->body_size);
 	encode_run(encoder, &request->part);
+	encode_uint(encoder, request->due_us > 0 ? (uint64_t)request->due_us
+						 : 0);
 }
 
 /* Whether a run is whole pairs of "name\0value\0", none of them empty-named,
@@ -153,10 +155,23 @@
 			   "request id", err);
 }
 
+static bool decode_due(const msgpack_object *f, struct call_request *request,
+		       struct error *err)
+{
+	uint64_t due_us;
+
+	if (!decode_uint(f, (uint64_t)CALL_DEADLINE_MAX_MS * 1000, &due_us,
+			 "due time", err))
+		return false;
+	request->due_us = (int64_t)due_us;
+	return true;
+}
+
 static bool decode_request(const msgpack_object *f,
 			   struct call_request *request, struct error *err)
 {
-	return decode_terms(f, request, err) &&
+	return decode_due(&f[15], request, err) &&
+	       decode_terms(f, request, err) &&
 	       decode_bool(&f[7], &request->repeatable, "repeatable", err) &&
 	       decode_small(&f[8], UINT32_MAX, &request->queue_max, "queue",
 			    err) &&
--- a/src/call/frames.h
+++ b/src/call/frames.h
@@ -34,12 +34,15 @@
 /**
  * struct call_request - the head of a call and the first part of its body
  * @wait_us: time left until the deadline when it was sent
+ * @due_us: time left until an answer is worth less; 0 if that does not count,
+ *	or has come to pass
  * @headers: "name\0value\0" for each field
  * @body_size: of the whole body; its end is reached with that many bytes
  */
 struct call_request {
 	struct call_terms terms;
 	int64_t wait_us;
+	int64_t due_us;
 	bool repeatable;
 	uint32_t queue_max;
 	char service[SERVICE_NAME_SIZE];
--- a/src/call/outbound.c
+++ b/src/call/outbound.c
@@ -13,8 +13,14 @@
 	 * that its refusal, which proves more, arrives in time. */
 	DEADLINE_MARGIN_US = 5 * US_PER_MS,
 	DEADLINE_MARGIN_SHARE = 10,
+	/* The way of an answer to the caller. */
+	DUE_MARGIN_US = 5 * US_PER_MS,
 };
 
+/* Late answers go behind those in time of the same weight, and before all of
+ * the next lower one, whatever step there is between them. */
+#define LATE_WEIGHT 0.5
+
 COUNTER(silent, "call.connections_silent",
 	"Connections to nodes that fell silent with calls outstanding");
 
@@ -105,6 +111,16 @@
 	return wait_us - margin_us;
 }
 
+/* Time left until the answer has to leave there to be in time here. */
+static int64_t due_there_us(const struct call *call)
+{
+	int64_t left_us = call->due_us - clock_monotonic_us();
+
+	if (!call->due_us)
+		return 0;
+	return left_us > DUE_MARGIN_US ? left_us - DUE_MARGIN_US : 1;
+}
+
 static size_t next_part(const struct call *call)
 {
 	size_t left = call->body_size - call->pushed;
@@ -173,6 +189,15 @@
 	memcpy(request->service, call->intake.service,
 	       sizeof(request->service));
 	request->terms.attempts = call->attempt.taken;
+	switch (call->pass) {
+	case CALL_IN_TIME:
+		request->due_us = due_there_us(call);
+		break;
+	case CALL_LATE:
+	case CALL_REFUSED:
+		request->terms.weight *= LATE_WEIGHT;
+		break;
+	}
 	call->pushed = 0;
 	request->part.data = call->body;
 	request->part.size = next_part(call);
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -240,6 +240,11 @@
 	gate->weight = request->terms.weight;
 	gate->queue_max = request->queue_max;
 	gate->deadline_us = serving->terms.deadline_us;
+	/* An answer that comes too late to be worth much must not take the
+	 * place of one that would come in time: where it cannot be met, the
+	 * caller's node learns it at once and may try elsewhere. */
+	if (request->due_us)
+		gate->deadline_us = now(serving->server) + request->due_us;
 	gate->user = serving;
 }
 
--- a/src/gate/forecast.c
+++ b/src/gate/forecast.c
@@ -1,6 +1,7 @@
 #include "gate/forecast.h"
 
 #include <math.h>
+#include <string.h>
 
 #include <utlist.h>
 
@@ -10,8 +11,10 @@
 #define SERVICE_WEIGHT (1.0 / 8)
 
 /* Mean deviations kept free before a deadline: a request that is started on
- * its average time comes late every other time, and its slot is lost. */
+ * its average time comes late every other time, and its slot is lost. Where
+ * weights go strictly by rank, a late answer still counts for something. */
 #define SPREADS 1.5
+#define SPREADS_STRICT 0.5
 
 /* Time over which longer service times become the best that is known. */
 enum { BEST_RISE_US = 30 * 1000 * 1000 };
@@ -55,6 +58,22 @@
 	learn_best(class, now_us);
 }
 
+/* Classes of one kind differ in weight only: the upstream takes as long. */
+static void learn_kind(struct gate *gate, const char *kind, double sample,
+		       int64_t now_us)
+{
+	uint32_t i;
+
+	for (i = 0; i < gate->class_count; i++) {
+		struct gate_class *class = &gate->classes[i];
+
+		if (strcmp(class->kind, kind) != 0)
+			continue;
+		learn_service(class, sample, now_us);
+		class->sample_at_us = now_us ? now_us : 1;
+	}
+}
+
 void forecast_learn(struct gate *gate, struct gate_class *class,
 		    int64_t service_us, int64_t now_us)
 {
@@ -63,8 +82,7 @@
 	if (gate->service_us <= 0)
 		gate->service_us = sample;
 	gate->service_us += (sample - gate->service_us) * SERVICE_WEIGHT;
-	learn_service(class, sample, now_us);
-	class->sample_at_us = now_us ? now_us : 1;
+	learn_kind(gate, class->kind, sample, now_us);
 }
 
 void forecast_learn_least(struct gate *gate, struct gate_class *class,
@@ -108,7 +126,9 @@
 	double margin_us = class->spread_us * fade(class, now_us);
 
 	return request->deadline_us -
-	       (int64_t)(service_us + SPREADS * margin_us);
+	       (int64_t)(service_us +
+			 (gate->options.strict ? SPREADS_STRICT : SPREADS) *
+				 margin_us);
 }
 
 /* When a running request was expected to end as it began. */
@@ -255,16 +275,47 @@
 	       level_share(gate, level);
 }
 
+/* Slot time that goes before where weights go strictly by rank. */
+static double strict_work_us(const struct gate *gate,
+			     const struct gate_request *request, int64_t now_us)
+{
+	double work_us = 0;
+	uint32_t i;
+
+	for (i = 0; i < gate->class_count; i++) {
+		const struct gate_class *class = &gate->classes[i];
+		const struct gate_request *other;
+		uint32_t ahead = 0;
+
+		if (class->weight > request->weight)
+			ahead = class->waiting_count;
+		else if (class->weight == request->weight)
+			DL_FOREACH(class->waiting, other)
+				ahead += other->deadline_us <=
+					 request->deadline_us;
+		if (ahead)
+			work_us += ahead *
+				   forecast_service_us(gate, class, now_us);
+	}
+	return work_us;
+}
+
 double forecast_wait_us(const struct gate *gate,
 			const struct gate_request *request, int64_t now_us)
 {
 	bool background = request->weight <= 0;
 	double limit = gate_limit(gate, now_us);
-	double all_us = waiting_work_us(gate, background, now_us);
-	double own_us = own_work_us(gate, request, now_us);
+	double free_us = (double)(forecast_free_us(gate, now_us) - now_us);
+	double all_us;
+	double own_us;
+
+	if (gate->options.strict)
+		return free_us + strict_work_us(gate, request, now_us) / limit;
+	all_us = waiting_work_us(gate, background, now_us);
+	own_us = own_work_us(gate, request, now_us);
 
 	/* The share is a floor: what others leave over makes it faster. */
-	return (double)(forecast_free_us(gate, now_us) - now_us) +
+	return free_us +
 	       (own_us < all_us ? own_us : all_us) / limit;
 }
 
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -107,12 +107,14 @@
  * @queue_max: waiting requests, all kinds together
  * @cold_start_us: time over which a new upstream gets its full concurrency
  * @fair: false: first come, first served, no early refusal; the baseline
+ * @strict: a heavier weight always goes first, instead of having its share
  */
 struct gate_options {
 	uint32_t slots;
 	uint32_t queue_max;
 	int64_t cold_start_us;
 	bool fair;
+	bool strict;
 };
 
 /**
--- a/src/gate/share.c
+++ b/src/gate/share.c
@@ -287,8 +287,11 @@
 	request->place = GATE_IDLE;
 }
 
-static bool level_before(const struct gate_level *a, const struct gate_level *b)
+static bool level_before(const struct gate *gate, const struct gate_level *a,
+			 const struct gate_level *b)
 {
+	if (gate->options.strict)
+		return a->weight > b->weight;
 	if ((a->weight > 0) != (b->weight > 0))
 		return a->weight > 0;
 	return a->tag < b->tag;
@@ -306,7 +309,7 @@
 		if (!level->waiting_count ||
 		    (!background && level->weight <= 0))
 			continue;
-		if (!best || level_before(level, best))
+		if (!best || level_before(gate, level, best))
 			best = level;
 	}
 	return best;
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -1,5 +1,6 @@
 #include "http/client.h"
 
+#include <assert.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -133,6 +134,7 @@
 
 static void put_text(struct buffer *out, const char *text)
 {
+	assert(text);
 	buffer_append(out, text, strlen(text));
 }
 
@@ -285,9 +287,14 @@
 
 void http_client_finish(struct http_client *client)
 {
-	while (client->transfers)
-		http_client_cancel(client->transfers);
-	while (client->idle)
-		client_conn_free(client->idle);
+	struct http_transfer *transfer;
+	struct http_transfer *next;
+	struct client_conn *conn;
+	struct client_conn *after;
+
+	DL_FOREACH_SAFE(client->transfers, transfer, next)
+		http_client_cancel(transfer);
+	DL_FOREACH_SAFE(client->idle, conn, after)
+		client_conn_free(conn);
 	timer_cancel(client->loop, &client->idle_timer);
 }
--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -101,6 +101,9 @@
 	if (members->seed_count < MEMBERS_SEEDS_MAX)
 		members->seeds[members->seed_count++] = *seed;
 	swim_knock_soon(members);
+	/* Who knows nobody has nothing else to do. */
+	if (HASH_COUNT(members->table) <= 1)
+		members->next_knock_us = members->now_us;
 }
 
 struct members_action *members_push(struct members *members,
--- a/src/node/lookup.c
+++ b/src/node/lookup.c
@@ -13,7 +13,7 @@
 enum {
 	/* All nodes may start within a fraction of a second: they spread over
 	 * it, so that the later ones find the earlier ones written down. */
-	FIRST_SPREAD_MS = 200,
+	FIRST_SPREAD_MS = 100,
 	LONELY_BASE_MS = 250,
 	LONELY_MOST_MS = 2000,
 	/* Knocks need a round trip; who was not answered by the second look
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -146,6 +146,7 @@
 		.slots = 1,
 		.queue_max = (uint32_t)settings->gate.queue_max,
 		.fair = settings->gate.fair,
+		.strict = settings->gate.strict,
 	};
 
 	gate_init(&node->gate, &gate);
--- a/src/node/reload.c
+++ b/src/node/reload.c
@@ -1,5 +1,4 @@
 #include <stdlib.h>
-#include <string.h>
 
 #include "base/log.h"
 #include "node/node_defs.h"
@@ -15,15 +14,6 @@
 
 static const char slice[] = "node";
 
-static bool needs_restart(const struct settings *old,
-			  const struct settings *new)
-{
-	struct settings same = *new;
-
-	same.peers = old->peers;
-	return memcmp(&same, old, sizeof(same)) != 0;
-}
-
 static void take_seeds(struct node *node, const struct settings_peers *peers)
 {
 	uint32_t i;
@@ -46,9 +36,7 @@
 	} else {
 		take_seeds(node, &settings->peers);
 		log_info(slice, "reloaded",
-			 LOG_NUMBER("seeds", settings->peers.seed_count),
-			 LOG_NUMBER("needs_restart",
-				    needs_restart(node->settings, settings)));
+			 LOG_NUMBER("seeds", settings->peers.seed_count));
 	}
 	free(settings);
 	free(faults);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -153,6 +153,7 @@
 /** struct settings_gate - admission to the upstream beside. */
 struct settings_gate {
 	bool fair;
+	bool strict;
 	int64_t queue_max;
 };
 
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -158,6 +158,9 @@
 static const struct schema_field gate_fields[] = {
 	SWITCH(gate.fair, "fair", "true",
 	       "Share by weight and tenant; false is first come, first served"),
+	SWITCH(gate.strict, "strict", "false",
+	       "A heavier weight always goes first, instead of having its "
+	       "share"),
 	NUMBER(gate.queue_max, "queue_max", 0, 100000, "256",
 	       "Requests of all kinds that may wait at the gate"),
 };
--- a/src/route/balance.c
+++ b/src/route/balance.c
@@ -54,7 +54,8 @@
 		return false;
 	if (level < LEVEL_UNREACHABLE && !endpoint->reachable)
 		return false;
-	if (level < LEVEL_TRIED && was_tried(pick, endpoint))
+	if ((pick->untried_only || level < LEVEL_TRIED) &&
+	    was_tried(pick, endpoint))
 		return false;
 	return level >= LEVEL_AVOIDED ||
 	       endpoint->avoid_until_us <= pick->now_us;
@@ -257,7 +258,7 @@
 
 	if (!pick->match->profile->spill)
 		return here;
-	if (here && expected_wait_us(pick, here) <= 0)
+	if (here && expected_wait_us(pick, here) <= (double)pick->wait_max_us)
 		return here;
 	there = choose(random, pick, remote, level);
 	if (!here)
