--- a/src/call/attempt_test.c
+++ b/src/call/attempt_test.c
@@ -226,19 +226,22 @@
 }
 
 /*
- * Symptom: one silent connection fails hundreds of requests that no upstream
- * has seen.
- * Sequence: all that was on it is proved not to have arrived; the tokens for
- * retries are spent after the first few.
- * Cause: tokens that spare upstreams asked for what costs them nothing.
+ * Symptom: one silent connection, or one full gate, fails hundreds of requests
+ * that no upstream has seen.
+ * Sequence: all of them are proved not to have arrived, or to have been turned
+ * away beside the upstream; the tokens for retries are spent after the first
+ * few.
+ * Cause: tokens that spare upstreams asked for what costs them nothing. What
+ * the upstream itself turned away has cost it something.
  */
-Test(attempt, what_was_lost_on_the_way_needs_no_token)
+Test(attempt, what_reached_no_upstream_needs_no_token)
 {
 	const struct attempt_event opened = OPENED;
 	const struct attempt_event lost =
 		REFUSED(VERDICT_NOT_RUN, CALL_NEVER_SEEN);
 	const struct attempt_event full =
 		REFUSED(VERDICT_NOT_RUN, CALL_GATE_FULL);
+	const struct attempt_event shed = REFUSED(VERDICT_NOT_RUN, CALL_SHED);
 	struct attempt_action action;
 	struct retry_budget budget;
 	struct attempt attempt;
@@ -251,6 +254,10 @@
 	attempt_begin(&attempt);
 	attempt_step(&attempt, &opened, 0);
 	action = attempt_step(&attempt, &full, 0);
+	cr_expect_eq(action.type, ATTEMPT_TRY);
+	attempt_begin(&attempt);
+	attempt_step(&attempt, &opened, 0);
+	action = attempt_step(&attempt, &shed, 0);
 	cr_expect_eq(action.type, ATTEMPT_FAIL);
 	cr_expect_eq(action.verdict, VERDICT_NOT_RUN);
 }
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -217,10 +217,26 @@
 	return false;
 }
 
+/* The parser lets blanks pass before the colon; others read such a field as
+ * another one than it does. */
+static bool has_odd_name(const struct http_head *head)
+{
+	struct http_header headers[HTTP_FIELDS_MAX];
+	size_t count = http_head_split(head, headers);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!headers[i].name[0] || strpbrk(headers[i].name, " \t"))
+			return true;
+	return false;
+}
+
 static bool is_confused(const struct http_exchange *exchange)
 {
 	const struct http_head *head = &exchange->head;
 
+	if (head->count > HTTP_FIELDS_MAX || has_odd_name(head))
+		return true;
 	if (http_head_find(head, "Transfer-Encoding") &&
 	    http_head_find(head, "Content-Length"))
 		return true;
@@ -256,7 +272,8 @@
 	conn->in_head = false;
 	/* No other protocol is spoken here. */
 	parser->upgrade = 0;
-	if (is_confused(exchange) || parser->method == HTTP_CONNECT) {
+	if (is_confused(exchange) || parser->method == HTTP_CONNECT ||
+	    parser->http_major != 1) {
 		counter_add(&malformed, 1);
 		refuse(conn, STATUS_BAD_REQUEST, "bad-request");
 		return -1;
--- /dev/null
+++ b/src/http/framing_test.c
@@ -0,0 +1,545 @@
+#include <apr_general.h>
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "os/net.h"
+
+/*
+ * What goes over the sockets byte by byte: messages that begin and end where
+ * they should not, and ends that one must not take for whole ones.
+ */
+
+enum {
+	TURNS = 200,
+	TURN_US = 2000,
+	QUIET_TURNS = 8,
+	TEXT_SIZE = 64 * 1024,
+	KEPT_MAX = 8,
+};
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static struct loop loop;
+static struct http_server server;
+static struct http_exchange *kept[KEPT_MAX];
+static uint32_t kept_count;
+static uint32_t requests;
+
+/* Answers at once with method, target and body; /later/ is kept. */
+static void handler(struct http_exchange *exchange, void *data)
+{
+	char text[512];
+	size_t size;
+	const uint8_t *body = http_exchange_body(exchange, &size);
+	int length = snprintf(text, sizeof(text), "%s %s [%.*s]",
+			      http_exchange_method(exchange),
+			      http_exchange_target(exchange), (int)size, body);
+
+	requests++;
+	if (!strncmp(http_exchange_path(exchange), "/later/", 7) &&
+	    kept_count < KEPT_MAX) {
+		kept[kept_count++] = exchange;
+		return;
+	}
+	http_exchange_reply(exchange, 200, NULL, 0, text, (size_t)length);
+}
+
+static void setup(void)
+{
+	struct http_server_options options = {
+		.max_body_bytes = 100,
+		.max_head_bytes = 1000,
+		.head_timeout_ms = 60,
+		.max_connections = 20,
+		.idle_timeout_ms = 60000,
+		.handler = handler,
+	};
+	struct error err = ERROR_INIT;
+
+	apr_initialize();
+	address_parse("127.0.0.1:0", &options.address, &err);
+	cr_assert(loop_init(&loop, &err));
+	cr_assert(http_server_init(&server, &loop, &options, &err));
+}
+
+static void teardown(void)
+{
+	http_server_finish(&server);
+	loop_finish(&loop);
+}
+
+static int connect_to(const struct address *address)
+{
+	struct error err = ERROR_INIT;
+	int fd = net_connect(address, NULL, &err);
+
+	cr_assert_neq(fd, NET_NONE, "%s", err.text);
+	return fd;
+}
+
+static void send_text(int fd, const char *text)
+{
+	cr_assert_eq(send(fd, text, strlen(text), MSG_NOSIGNAL),
+		     (ssize_t)strlen(text));
+}
+
+/*
+ * What comes until the other side closes, or until nothing more comes.
+ * Return: whether it has closed.
+ */
+static bool collect(int fd, char text[TEXT_SIZE])
+{
+	size_t used = 0;
+	int quiet = 0;
+	int i;
+
+	text[0] = '\0';
+	for (i = 0; i < TURNS && quiet < QUIET_TURNS; i++) {
+		size_t size = TEXT_SIZE - 1 - used;
+		enum net_result result;
+
+		loop_turn(&loop, TURN_US);
+		result = net_read(fd, text + used, &size);
+		if (result == NET_CLOSED || result == NET_FAILED)
+			return true;
+		quiet = result == NET_AGAIN && used ? quiet + 1 : 0;
+		if (result != NET_OK)
+			continue;
+		used += size;
+		text[used] = '\0';
+	}
+	return false;
+}
+
+static uint32_t count_of(const char *text, const char *part)
+{
+	uint32_t count = 0;
+
+	while ((text = strstr(text, part))) {
+		count++;
+		text += strlen(part);
+	}
+	return count;
+}
+
+/*
+ * Symptom: a request that its caller never sent runs at an upstream.
+ * Sequence: a message tells its length twice, or in two ways; one process
+ * takes bytes for its body that the other takes for the next request.
+ * Cause: lengths that do not agree, and each side free to choose.
+ */
+Test(framing, a_message_has_one_meaning_or_none, .init = setup,
+     .fini = teardown)
+{
+	static const struct {
+		const char *name;
+		const char *bytes;
+		const char *answer; /* part of the first one */
+		uint32_t requests;
+		bool closes;
+	} cases[] = {
+		{ "plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		  "GET /a []", 1, false },
+		{ "body", "POST /a HTTP/1.1\r\nHost: h\r\n"
+			  "Content-Length: 3\r\n\r\nabc",
+		  "POST /a [abc]", 1, false },
+		{ "chunks", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+			    "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+		  "POST /a [abc]", 1, false },
+		{ "two lengths", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				 "Content-Length: 3\r\nContent-Length: 4\r\n"
+				 "\r\nabcd",
+		  "HTTP/1.1 400", 0, true },
+		{ "one length twice", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				      "Content-Length: 3\r\n"
+				      "Content-Length: 3\r\n\r\nabc",
+		  "HTTP/1.1 400", 0, true },
+		{ "length and chunks", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				       "Content-Length: 3\r\n"
+				       "Transfer-Encoding: chunked\r\n\r\n"
+				       "0\r\n\r\n",
+		  "HTTP/1.1 400", 0, true },
+		{ "chunks and length", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				       "Transfer-Encoding: chunked\r\n"
+				       "Content-Length: 3\r\n\r\n0\r\n\r\n",
+		  "HTTP/1.1 400", 0, true },
+		{ "another coding", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				    "Transfer-Encoding: gzip\r\n\r\nabc",
+		  "HTTP/1.1 400", 0, true },
+		{ "negative length", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				     "Content-Length: -1\r\n\r\n",
+		  "HTTP/1.1 400", 0, true },
+		{ "length of letters", "POST /a HTTP/1.1\r\nHost: h\r\n"
+				       "Content-Length: 3x\r\n\r\nabc",
+		  "HTTP/1.1 400", 0, true },
+		{ "two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+		  "HTTP/1.1 400", 0, true },
+		{ "blank in a name",
+		  "GET /a HTTP/1.1\r\nHost : h\r\nX: y\r\n\r\n",
+		  "HTTP/1.1 400", 0, true },
+		{ "no protocol", "GET /a\r\n\r\n", "HTTP/1.1 400", 0, true },
+		{ "rubbish", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 501", 0, true },
+		{ "an unknown method", "SEAL /a HTTP/1.1\r\nHost: h\r\n\r\n",
+		  "HTTP/1.1 501", 0, true },
+		{ "a tunnel", "CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\nxyz",
+		  "HTTP/1.1 400", 0, true },
+		{ "another protocol",
+		  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
+		  "Upgrade: other\r\n\r\n",
+		  "GET /a []", 1, false },
+		{ "the old protocol", "GET /a HTTP/1.0\r\n\r\n", "GET /a []",
+		  1, true },
+		{ "a last request",
+		  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+		  "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
+		  "Connection: close", 1, true },
+		{ "a body over the limit",
+		  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 101\r\n\r\n",
+		  "HTTP/1.1 413", 0, true },
+		{ "chunks over the limit",
+		  "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\nff\r\n",
+		  "", 0, false },
+		{ "a head without end", "GET /a HTTP/1.1\r\nHost: h\r\nX: ",
+		  "HTTP/1.1 408", 0, true },
+		{ "a body is asked for",
+		  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+		  "Expect: 100-continue\r\n\r\n",
+		  "HTTP/1.1 100 Continue", 0, false },
+	};
+	static char text[TEXT_SIZE];
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		int fd = connect_to(http_server_address(&server));
+		bool closed;
+
+		requests = 0;
+		send_text(fd, cases[i].bytes);
+		closed = collect(fd, text);
+		cr_expect_not_null(strstr(text, cases[i].answer), "%s: %s",
+				   cases[i].name, text);
+		cr_expect_eq(requests, cases[i].requests, "%s: %u requests",
+			     cases[i].name, requests);
+		cr_expect_eq(closed, cases[i].closes, "%s: %s", cases[i].name,
+			     text);
+		cr_expect_leq(count_of(text, "HTTP/1.1 2") +
+				      count_of(text, "HTTP/1.1 4"),
+			      1, "%s: %s", cases[i].name, text);
+		net_close(fd);
+	}
+}
+
+Test(framing, a_head_over_the_limit_is_refused, .init = setup,
+     .fini = teardown)
+{
+	static char text[TEXT_SIZE];
+	char line[1200];
+	int fd = connect_to(http_server_address(&server));
+
+	memset(line, 'x', sizeof(line) - 1);
+	line[sizeof(line) - 1] = '\0';
+	send_text(fd, "GET /a HTTP/1.1\r\nHost: h\r\nX: ");
+	send_text(fd, line);
+	cr_expect(collect(fd, text));
+	cr_expect_not_null(strstr(text, "HTTP/1.1 431"), "%s", text);
+	cr_expect_eq(requests, 0);
+	net_close(fd);
+}
+
+static void reply(struct http_exchange *exchange, const char *text)
+{
+	http_exchange_reply(exchange, 200, NULL, 0, text, strlen(text));
+}
+
+/*
+ * Symptom: a caller that sends several requests at once gets the later ones'
+ * answers late, or another request's answer.
+ * Sequence: the first request takes long; the ones behind it could be
+ * answered before it.
+ * Cause: requests of one connection worked on one at a time, or answered in
+ * the order in which they end.
+ */
+Test(framing, requests_behind_one_another_run_together_and_answer_in_order,
+     .init = setup, .fini = teardown)
+{
+	static char text[TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	const char *first;
+	const char *second;
+	const char *third;
+
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /now HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /later/3 HTTP/1.1\r\nHost: h\r\n\r\n");
+	cr_expect_not(collect(fd, text));
+	cr_expect_str_eq(text, "");
+	cr_assert_eq(requests, 3);
+	reply(kept[1], "three");
+	cr_expect_not(collect(fd, text));
+	cr_expect_str_eq(text, "");
+	reply(kept[0], "one");
+	cr_expect_not(collect(fd, text));
+	first = strstr(text, "one");
+	second = strstr(text, "GET /now []");
+	third = strstr(text, "three");
+	cr_assert(first && second && third, "%s", text);
+	cr_expect(first < second && second < third, "%s", text);
+	net_close(fd);
+}
+
+/* More than are worked on at once: the rest waits unread and none is lost. */
+Test(framing, a_full_pipeline_holds_the_caller_back, .init = setup,
+     .fini = teardown)
+{
+	enum { SENT = 100 };
+	static char text[TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	int i;
+
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	for (i = 1; i < SENT; i++)
+		send_text(fd, "GET /now HTTP/1.1\r\nHost: h\r\n\r\n");
+	collect(fd, text);
+	cr_assert_eq(kept_count, 1);
+	cr_expect_lt(requests, SENT);
+	reply(kept[0], "one");
+	for (i = 0; i < TURNS && requests < SENT; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_eq(requests, SENT);
+	collect(fd, text);
+	net_close(fd);
+}
+
+/* A caller that goes away while several of its requests are worked on. */
+static uint32_t aborts;
+
+static void on_abort(struct http_exchange *exchange, void *data)
+{
+	aborts++;
+}
+
+Test(framing, all_requests_of_a_caller_that_hangs_up_are_aborted,
+     .init = setup, .fini = teardown)
+{
+	static char text[TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	int i;
+
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /later/2 HTTP/1.1\r\nHost: h\r\n\r\n");
+	collect(fd, text);
+	cr_assert_eq(kept_count, 2);
+	http_exchange_on_abort(kept[0], on_abort, NULL);
+	http_exchange_on_abort(kept[1], on_abort, NULL);
+	net_close(fd);
+	for (i = 0; i < TURNS && aborts < 2; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_eq(aborts, 2);
+	cr_expect_eq(server.exchange_count, 0);
+	cr_expect_eq(server.held_bytes, 0);
+}
+
+/* The other side of a client: accepts, reads, and answers with given bytes. */
+struct script {
+	const char *name;
+	const char *answer;
+	bool closes;
+	bool resets;
+	enum http_delivery delivery;
+	unsigned int status;
+	const char *body;
+	bool delimited;
+	bool kept; /* the connection is used again */
+};
+
+struct ending {
+	bool over;
+	enum http_delivery delivery;
+	unsigned int status;
+	char body[64];
+	bool delimited;
+};
+
+static void ended(const struct http_answer *answer, void *data)
+{
+	struct ending *ending = data;
+
+	ending->over = true;
+	ending->delivery = answer->delivery;
+	ending->status = answer->status;
+	ending->delimited = answer->delimited;
+	snprintf(ending->body, sizeof(ending->body), "%.*s",
+		 (int)answer->body_size, answer->body);
+}
+
+static int accept_one(int listen_fd)
+{
+	struct address from;
+	int fd = NET_NONE;
+	int i;
+
+	for (i = 0; i < TURNS && fd == NET_NONE; i++) {
+		loop_turn(&loop, TURN_US);
+		fd = net_accept(listen_fd, &from);
+	}
+	cr_assert_neq(fd, NET_NONE);
+	return fd;
+}
+
+static void await_request(int fd)
+{
+	char text[1024];
+	int i;
+
+	for (i = 0; i < TURNS; i++) {
+		size_t size = sizeof(text);
+
+		loop_turn(&loop, TURN_US);
+		if (net_read(fd, text, &size) == NET_OK)
+			return;
+	}
+	cr_assert_fail("no request came");
+}
+
+static void reset(int fd)
+{
+	const struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+static void play(struct http_client *client, int listen_fd,
+		 const struct address *address, const struct script *script)
+{
+	const struct http_header headers[] = { { "X-Id", "7" } };
+	char url[ADDRESS_TEXT_SIZE + 16];
+	char text[ADDRESS_TEXT_SIZE];
+	const struct http_request request = {
+		.method = "GET",
+		.url = url,
+		.headers = headers,
+		.header_count = 1,
+		.timeout_ms = 5000,
+		.max_answer_bytes = 40,
+		.echo = "X-Id",
+	};
+	struct ending ending = { .over = false };
+	int fd;
+	int i;
+
+	snprintf(url, sizeof(url), "http://%s/x", address_format(address, text));
+	http_client_send(client, &request, ended, &ending);
+	fd = accept_one(listen_fd);
+	await_request(fd);
+	send_text(fd, script->answer);
+	loop_turn(&loop, TURN_US);
+	loop_turn(&loop, TURN_US);
+	if (script->resets)
+		reset(fd);
+	if (script->closes || script->resets)
+		net_close(fd);
+	for (i = 0; i < TURNS && !ending.over; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect(ending.over, "%s", script->name);
+	cr_expect_eq(ending.delivery, script->delivery, "%s", script->name);
+	cr_expect_eq(ending.status, script->status, "%s: %u", script->name,
+		     ending.status);
+	cr_expect_str_eq(ending.body, script->body, "%s", script->name);
+	if (ending.delivery == HTTP_ANSWERED)
+		cr_expect_eq(ending.delimited, script->delimited, "%s",
+			     script->name);
+	cr_expect_eq(client->idle != NULL, script->kept, "%s", script->name);
+	if (!script->closes && !script->resets)
+		net_close(fd);
+	/* A kept connection that the server closes is let go of. */
+	for (i = 0; i < TURNS && client->idle; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_null(client->idle, "%s", script->name);
+}
+
+/*
+ * Symptom: a caller gets half an answer for a whole one, or the answer to
+ * another request.
+ * Sequence: an upstream breaks off, sends bytes behind its answer, or sends
+ * an answer left over from an earlier request first.
+ * Cause: an answer taken as it begins, and not as it ends.
+ */
+Test(framing, an_answer_is_whole_and_its_own_or_none, .init = setup,
+     .fini = teardown)
+{
+	static const struct script scripts[] = {
+		{ "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
+		{ "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+			    "\r\n2\r\nhi\r\n0\r\n\r\n",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
+		{ "a last one", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				"Connection: close\r\n\r\nhi",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
+		{ "kept for no time", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				      "Keep-Alive: timeout=0\r\n\r\nhi",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
+		{ "no length", "HTTP/1.1 200 OK\r\n\r\nhi", true, false,
+		  HTTP_ANSWERED, 200, "hi", false, false },
+		{ "no length, reset", "HTTP/1.1 200 OK\r\n\r\nhi", false, true,
+		  HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", true,
+		  false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+				"\r\n\r\n2\r\nhi\r\n",
+		  true, false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "cut head", "HTTP/1.1 200 OK\r\nContent-Le", true, false,
+		  HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "nothing", "", true, false, HTTP_MAY_BE_SENT, 0, "", false,
+		  false },
+		{ "rubbish", "what is this\r\n\r\n", false, false,
+		  HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "bytes behind", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+				  "hiHTTP/1.1 200 OK\r\n",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
+		{ "a second answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				     "X-Id: 7\r\n\r\nhiHTTP/1.1 200 OK\r\n"
+				     "Content-Length: 2\r\nX-Id: 7\r\n\r\nho",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
+		{ "one left over", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				   "X-Id: 6\r\n\r\nhoHTTP/1.1 200 OK\r\n"
+				   "Content-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
+		{ "only one left over",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 6\r\n\r\nho",
+		  true, false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "information first",
+		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
+		  "Content-Length: 0\r\n\r\n",
+		  false, false, HTTP_ANSWERED, 201, "", true, true },
+		{ "too large", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
+			       "01234567890123456789012345678901234567890123456"
+			       "789",
+		  false, false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+				 "Content-Length: 3\r\n\r\nhi",
+		  false, false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		{ "no content", "HTTP/1.1 204 No Content\r\n\r\n", false, false,
+		  HTTP_ANSWERED, 204, "", true, true },
+	};
+	struct http_client client;
+	struct address address;
+	struct error err = ERROR_INIT;
+	int listen_fd;
+	size_t i;
+
+	address_parse("127.0.0.1:0", &address, &err);
+	listen_fd = net_listen(&address, &err);
+	cr_assert_neq(listen_fd, NET_NONE);
+	cr_assert(http_client_init(&client, &loop, &err));
+	for (i = 0; i < COUNT(scripts); i++)
+		play(&client, listen_fd, &address, &scripts[i]);
+	http_client_finish(&client);
+	net_close(listen_fd);
+}
--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -40,6 +40,7 @@
 	size_t used = 0;
 	uint32_t i;
 
+	text[0] = '\0';
 	for (i = 0; i < directory->count; i++) {
 		const struct directory_entry *entry = &directory->entries[i];
 		int size = snprintf(text + used, DIRECTORY_TEXT_SIZE - used,
--- /dev/null
+++ b/src/membership/directory_test.c
@@ -0,0 +1,92 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "membership/directory.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static struct address parse(const char *text)
+{
+	struct address address;
+
+	cr_assert(address_parse(text, &address, NULL), "%s", text);
+	return address;
+}
+
+static void expect_text(const struct directory *directory, const char *text)
+{
+	static char written[DIRECTORY_TEXT_SIZE];
+	size_t size = directory_format(directory, written);
+
+	cr_expect_str_eq(written, text);
+	cr_expect_eq(size, strlen(text));
+}
+
+Test(directory, what_is_no_line_is_left_out)
+{
+	static const struct {
+		const char *text;
+		const char *kept;
+	} cases[] = {
+		{ "", "" },
+		{ "\n\n", "" },
+		{ "a 10.0.0.1:1\n", "a 10.0.0.1:1\n" },
+		{ "a 10.0.0.1:1", "a 10.0.0.1:1\n" },
+		{ "a 10.0.0.1:1\nrubbish\nb 10.0.0.2:2\n",
+		  "a 10.0.0.1:1\nb 10.0.0.2:2\n" },
+		{ " 10.0.0.1:1\n", "" },
+		{ "a 10.0.0.1\n", "" },
+		{ "a  10.0.0.1:1\n", "" },
+	};
+	struct directory directory;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		directory_parse(&directory, cases[i].text,
+				strlen(cases[i].text));
+		expect_text(&directory, cases[i].kept);
+	}
+}
+
+Test(directory, a_full_data_centre_gives_up_its_last)
+{
+	static const char before[] = "b 10.0.1.1:1\na 10.0.0.1:1\na "
+				     "10.0.0.2:1\na 10.0.0.3:1\n";
+	struct address fourth = parse("10.0.0.4:1");
+	struct address second = parse("10.0.0.2:1");
+	struct directory directory;
+
+	directory_parse(&directory, before, strlen(before));
+	cr_expect_eq(directory_count(&directory, "a"), DIRECTORY_PER_CENTRE);
+	cr_expect_not(directory_add(&directory, "a", &second));
+	cr_expect(directory_add(&directory, "a", &fourth));
+	expect_text(&directory, "a 10.0.0.4:1\nb 10.0.1.1:1\na 10.0.0.1:1\na "
+				"10.0.0.2:1\n");
+	directory_remove(&directory, "a", &second);
+	directory_remove(&directory, "c", &second);
+	cr_expect_not(directory_has(&directory, "a", &second));
+	cr_expect_eq(directory_count(&directory, "a"), 2);
+	cr_expect_eq(directory_count(&directory, "b"), 1);
+}
+
+/* More data centres than the text has room for: a whole number of lines. */
+Test(directory, memory_and_text_are_bounded)
+{
+	struct directory directory = { .count = 0 };
+	char name[NAME_SIZE];
+	char text[DIRECTORY_TEXT_SIZE];
+	struct address address = parse("10.0.0.1:65535");
+	size_t size;
+	int i;
+
+	for (i = 0; i < DIRECTORY_ENTRIES_MAX + 10; i++) {
+		snprintf(name, sizeof(name), "a-data-centre-of-a-long-name-%d",
+			 i);
+		directory_add(&directory, name, &address);
+	}
+	cr_expect_eq(directory.count, DIRECTORY_ENTRIES_MAX);
+	size = directory_format(&directory, text);
+	cr_expect_lt(size, DIRECTORY_TEXT_SIZE);
+	cr_expect_eq(text[size - 1], '\n');
+}
--- /dev/null
+++ b/src/profile/reader_rank_test.c
@@ -0,0 +1,133 @@
+#include <criterion/criterion.h>
+
+#include "os/clock.h"
+#include "profile/reader_core.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static struct reader_core core;
+
+static void begin(uint32_t rank)
+{
+	struct lease_options lease;
+
+	lease_options_default(&lease);
+	reader_core_init(&core, READER_BY_RANK, &lease, 1);
+	reader_core_set_rank(&core, rank, 0);
+}
+
+static enum reader_action next_at(int64_t now_us)
+{
+	struct reader_order order;
+
+	reader_core_next(&core, now_us, &order);
+	return order.action;
+}
+
+static void answer(enum store_reason reason, uint64_t revision, int64_t now_us)
+{
+	const struct store_result result = {
+		.outcome = reason == STORE_FINE ? STORE_TOOK_EFFECT
+						: STORE_DID_NOT,
+		.reason = reason,
+		.revision = revision,
+		.sent_us = now_us,
+	};
+
+	reader_core_head(&core, &result, READER_HEAD_TAKEN, now_us);
+}
+
+/*
+ * Symptom: a version is not in force in a data centre within its time, though
+ * all but one of its nodes are well.
+ * Sequence: the one node that reads the service is cut off from it, stopped
+ * or frozen; a version is accepted meanwhile.
+ * Cause: nobody but that node looks, and nobody notices that it does not.
+ */
+Test(reader_rank, each_rank_steps_in_once_the_source_is_unread_for_long)
+{
+	static const struct {
+		uint32_t rank;
+		int64_t unread_ms;
+		enum reader_action action;
+	} cases[] = {
+		{ 0, 0, READER_WATCH_HEAD },
+		{ 1, 0, READER_NOTHING },
+		{ 1, 900, READER_NOTHING },
+		{ 1, 960, READER_WATCH_HEAD },
+		{ 2, 960, READER_NOTHING },
+		{ 2, 1020, READER_WATCH_HEAD },
+		{ 700, 1379, READER_NOTHING },
+		{ 700, 1380, READER_WATCH_HEAD },
+		{ UINT32_MAX, 1380, READER_WATCH_HEAD },
+	};
+	const int64_t heard_us = 5 * 1000 * US_PER_MS;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		begin(cases[i].rank);
+		reader_core_set_source(&core, heard_us);
+		cr_expect_eq(next_at(heard_us + cases[i].unread_ms * US_PER_MS),
+			     cases[i].action, "case %zu", i);
+	}
+}
+
+/* Who has stepped in stays for a while: one that stops after each look would
+ * leave the source unread again and again. */
+Test(reader_rank, who_steps_in_stays_and_goes)
+{
+	int64_t now_us = 10 * 1000 * US_PER_MS;
+
+	begin(3);
+	cr_assert_eq(next_at(now_us), READER_WATCH_HEAD);
+	answer(STORE_FINE, 7, now_us);
+	now_us += READER_PAUSE_MS * US_PER_MS;
+	cr_expect_eq(next_at(now_us), READER_WATCH_HEAD);
+	cr_expect_eq(reader_core_contact_us(&core, now_us), now_us);
+	now_us += READER_STAY_MS * US_PER_MS;
+	reader_core_set_source(&core, now_us);
+	answer(STORE_NOT_NEWER, 9, now_us);
+	cr_expect_eq(next_at(now_us + READER_PACE_MS * US_PER_MS / 2),
+		     READER_NOTHING);
+}
+
+/* A service that cannot be reached is no word of it. */
+Test(reader_rank, a_failed_read_is_no_contact)
+{
+	int64_t now_us = 10 * 1000 * US_PER_MS;
+
+	begin(0);
+	cr_assert_eq(next_at(now_us), READER_WATCH_HEAD);
+	cr_expect_eq(reader_core_contact_us(&core, now_us), 0);
+	answer(STORE_UNREACHABLE, 0, now_us);
+	cr_expect_eq(reader_core_contact_us(&core, now_us), 0);
+	cr_expect_eq(next_at(now_us), READER_NOTHING);
+	cr_expect_eq(next_at(now_us + 600 * US_PER_MS), READER_WATCH_HEAD);
+	answer(STORE_FINE, 3, now_us);
+	cr_expect_eq(reader_core_contact_us(&core, now_us + 1), now_us);
+}
+
+/*
+ * Symptom: a version that came while the service forgot its history is in
+ * force seconds late.
+ * Sequence: the watch is told that its revision is forgotten.
+ * Cause: waiting before the head itself is read.
+ */
+Test(reader_rank, a_forgotten_history_is_read_anew_at_once)
+{
+	int64_t now_us = 10 * 1000 * US_PER_MS;
+	struct reader_order order;
+
+	begin(0);
+	next_at(now_us);
+	answer(STORE_FINE, 40, now_us);
+	now_us += READER_PAUSE_MS * US_PER_MS;
+	reader_core_next(&core, now_us, &order);
+	cr_expect_eq(order.revision, 40);
+	answer(STORE_COMPACTED, 0, now_us);
+	reader_core_next(&core, now_us, &order);
+	cr_expect_eq(order.action, READER_WATCH_HEAD);
+	cr_expect_eq(order.revision, 0);
+	answer(STORE_COMPACTED, 0, now_us);
+	cr_expect_eq(next_at(now_us), READER_NOTHING);
+}
