--- a/src/base/log.h
+++ b/src/base/log.h
@@ -1,17 +1,22 @@
 #ifndef BASE_LOG_H
 #define BASE_LOG_H
 
+#include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
-#include <stdio.h>
 
 /**
  * DOC: log
  *
  * JSON lines, one event a line: time, level, slice, event, data centre,
- * instance, then the event's own fields. Each pair of slice and event is
- * limited in rate: a storm must neither fill the disk of whoever collects
- * the log nor slow the process; the next line that passes carries the number
- * of those left out as "suppressed".
+ * instance, then the event's own fields.
+ *
+ * Writing never waits: lines lie in one buffer of fixed size until whoever
+ * reads them takes them. Each pair of slice and event is limited in rate, and
+ * lines about single requests as a whole; of these the ordinary ones are left
+ * out first, where the buffer fills or their rate is exceeded, so that what
+ * failed, was refused or was slow is still there. What was left out is
+ * counted and told.
  */
 
 enum log_level { LOG_DEBUG, LOG_INFO, LOG_WARN, LOG_ERROR };
@@ -39,15 +44,20 @@
 
 /**
  * struct log_options - where lines go and what they carry
- * @file: NULL for standard error
+ * @fd: descriptor; 0 for standard output
+ * @buffered: lines wait for log_flush(); else each is written at once
  * @rate_per_s: lines a second of one slice and event; 0 for no limit
+ * @requests_per_s: lines a second about requests that went well, and as many
+ *	again about all others; 0 for no limit
  */
 struct log_options {
-	FILE *file;
+	int fd;
+	bool buffered;
 	enum log_level level;
 	const char *data_centre;
 	const char *instance;
 	uint32_t rate_per_s;
+	uint32_t requests_per_s;
 };
 
 /** log_init() - set up the process's log; strings must outlive it. */
@@ -56,9 +66,25 @@
 /** log_level_parse() - "debug" to "error"; negative if it is none. */
 int log_level_parse(const char *name);
 
+/**
+ * log_flush() - write what waits, as far as that does not have to wait
+ * @at_once: also the few lines that would wait for more to come
+ */
+void log_flush(bool at_once);
+
+/** log_left_out() - lines that were left out since the start. */
+uint64_t log_left_out(void);
+
 void log_write(enum log_level level, const char *slice, const char *event,
 	       const struct log_field *fields, size_t count);
 
+/**
+ * log_request() - a line about one request
+ * @ordinary: nothing about it needs an explanation
+ */
+void log_request(bool ordinary, const char *slice, const char *event,
+		 const struct log_field *fields, size_t count);
+
 #define LOG_EVENT(level, slice, event, ...)                                    \
 	do {                                                                   \
 		const struct log_field log_fields[] = {                        \
--- /dev/null
+++ b/src/base/log_line.c
@@ -0,0 +1,122 @@
+#include "base/log_line.h"
+
+#include <stdbool.h>
+#include <stdio.h>
+#include <string.h>
+
+enum {
+	END_SIZE = 2,	  /* "}\n" */
+	ESCAPED_SIZE = 6, /* "\u001f" */
+};
+
+void log_line_begin(struct log_line *line)
+{
+	line->text[0] = '{';
+	line->size = 1;
+}
+
+static bool has_room(const struct log_line *line, size_t size)
+{
+	return line->size + size + END_SIZE <= sizeof(line->text);
+}
+
+/* Bytes of the UTF-8 character at @at, 0 if it is none. */
+static size_t character_size(const unsigned char *at)
+{
+	size_t size = *at < 0x80   ? 1
+		      : *at < 0xc2 ? 0
+		      : *at < 0xe0 ? 2
+		      : *at < 0xf0 ? 3
+		      : *at < 0xf5 ? 4
+				   : 0;
+	size_t i;
+
+	for (i = 1; i < size; i++)
+		if ((at[i] & 0xc0) != 0x80)
+			return 0;
+	return size;
+}
+
+/* Bytes from outside may not be text, which JSON cannot carry. */
+static bool is_text(const char *text)
+{
+	const unsigned char *at = (const unsigned char *)text;
+
+	while (*at) {
+		size_t size = character_size(at);
+
+		if (!size)
+			return false;
+		at += size;
+	}
+	return true;
+}
+
+static void put(struct log_line *line, const char *bytes, size_t size)
+{
+	memcpy(line->text + line->size, bytes, size);
+	line->size += size;
+}
+
+static void put_character(struct log_line *line, char c)
+{
+	char escaped[ESCAPED_SIZE + 1];
+
+	if (c == '"' || c == '\\') {
+		put(line, "\\", 1);
+		put(line, &c, 1);
+	} else if ((unsigned char)c < ' ') {
+		snprintf(escaped, sizeof(escaped), "\\u%04x", (unsigned int)c);
+		put(line, escaped, ESCAPED_SIZE);
+	} else {
+		put(line, &c, 1);
+	}
+}
+
+static void put_name(struct log_line *line, const char *name)
+{
+	if (line->size > 1)
+		put(line, ",", 1);
+	put(line, "\"", 1);
+	put(line, name, strlen(name));
+	put(line, "\":", 2);
+}
+
+void log_line_text(struct log_line *line, const char *name, const char *text)
+{
+	size_t size;
+	size_t i;
+
+	if (!text)
+		return;
+	if (!is_text(text))
+		text = "(not UTF-8)";
+	size = strlen(text);
+	if (!has_room(line, strlen(name) + 6 + size * ESCAPED_SIZE)) {
+		if (!has_room(line, strlen(name) + 16))
+			return;
+		text = "(cut)";
+		size = strlen(text);
+	}
+	put_name(line, name);
+	put(line, "\"", 1);
+	for (i = 0; i < size; i++)
+		put_character(line, text[i]);
+	put(line, "\"", 1);
+}
+
+void log_line_number(struct log_line *line, const char *name, int64_t number)
+{
+	char text[24];
+	int size = snprintf(text, sizeof(text), "%lld", (long long)number);
+
+	if (!has_room(line, strlen(name) + 4 + (size_t)size))
+		return;
+	put_name(line, name);
+	put(line, text, (size_t)size);
+}
+
+void log_line_end(struct log_line *line)
+{
+	put(line, "}\n", END_SIZE);
+}
--- a/src/base/log_test.c
+++ b/src/base/log_test.c
@@ -1,38 +1,39 @@
 #include <criterion/criterion.h>
 #include <fcntl.h>
 #include <jansson.h>
+#include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "base/log.h"
+#include "base/log_line.h"
 
-enum { LINE_SIZE = 1024 };
+enum { READ_SIZE = 64 * 1024, MANY = 20000 };
 
 static int reader;
 
-/* A pipe whose reads return what one write() wrote, unbuffered like standard
- * error. */
-static void log_into_pipe(uint32_t rate_per_s)
+/* A pipe whose reads return what one write() wrote. */
+static void log_into_pipe(uint32_t rate_per_s, bool buffered)
 {
 	struct log_options options = { .level = LOG_INFO,
 				       .data_centre = "dc",
 				       .instance = "i",
+				       .buffered = buffered,
 				       .rate_per_s = rate_per_s };
 	int ends[2];
 
 	cr_assert_eq(pipe2(ends, O_DIRECT | O_NONBLOCK), 0);
 	reader = ends[0];
-	options.file = fdopen(ends[1], "w");
-	setvbuf(options.file, NULL, _IONBF, 0);
+	options.fd = ends[1];
 	log_init(&options);
 }
 
-static ssize_t next_write(char line[LINE_SIZE])
+static ssize_t next_write(char text[READ_SIZE])
 {
-	ssize_t size = read(reader, line, LINE_SIZE - 1);
+	ssize_t size = read(reader, text, READ_SIZE - 1);
 
 	if (size > 0)
-		line[size] = '\0';
+		text[size] = '\0';
 	return size;
 }
 
@@ -43,30 +44,30 @@
  */
 Test(log, a_line_is_written_in_one_piece)
 {
-	char line[LINE_SIZE];
+	static char line[READ_SIZE];
 	json_t *json;
 
-	log_into_pipe(0);
-	log_info("slice", "event", LOG_TEXT("name", "a \"quoted\" one"),
-		 LOG_NUMBER("count", 3));
+	log_into_pipe(0, false);
+	log_info("slice", "event", LOG_TEXT("name", "a \"quoted\"\n\x01 one"),
+		 LOG_NUMBER("count", -3));
 	cr_assert_gt(next_write(line), 0);
 	cr_assert_eq(line[strlen(line) - 1], '\n');
 	json = json_loads(line, 0, NULL);
 	cr_assert_not_null(json, "%s", line);
 	cr_assert_str_eq(json_string_value(json_object_get(json, "name")),
-			 "a \"quoted\" one");
-	cr_assert_eq(json_integer_value(json_object_get(json, "count")), 3);
+			 "a \"quoted\"\n\x01 one");
+	cr_assert_eq(json_integer_value(json_object_get(json, "count")), -3);
 	json_decref(json);
 	cr_assert_lt(next_write(line), 0);
 }
 
 Test(log, storms_are_limited_by_event)
 {
-	char line[LINE_SIZE];
+	static char line[READ_SIZE];
 	int lines = 0;
 	int i;
 
-	log_into_pipe(2);
+	log_into_pipe(2, false);
 	for (i = 0; i < 50; i++)
 		log_info("slice", "storm");
 	log_info("slice", "another");
@@ -79,12 +80,116 @@
 
 Test(log, lines_below_the_level_and_texts_that_are_not_utf8)
 {
-	char line[LINE_SIZE];
+	static const struct {
+		const char *text;
+		const char *written;
+	} cases[] = {
+		{ "\xff\xfe", "(not UTF-8)" },
+		{ "\xc3\xa9", "\xc3\xa9" },
+		{ "\xe2\x82", "(not UTF-8)" },
+		{ "\xc0\x80", "(not UTF-8)" },
+		{ "", "\"name\":\"\"" },
+	};
+	static char line[READ_SIZE];
+	size_t i;
 
-	log_into_pipe(0);
+	log_into_pipe(0, false);
 	log_debug("slice", "hidden");
-	log_info("slice", "event", LOG_TEXT("name", "\xff\xfe"));
-	cr_assert_gt(next_write(line), 0);
-	cr_assert_not_null(strstr(line, "(not UTF-8)"), "%s", line);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		log_info("slice", "event", LOG_TEXT("name", cases[i].text));
+		cr_assert_gt(next_write(line), 0);
+		cr_expect_not_null(strstr(line, cases[i].written), "%s", line);
+	}
 	cr_assert_lt(next_write(line), 0);
 }
+
+/* What is too long for a line is cut, and the line is still one. */
+Test(log, a_line_has_a_bound)
+{
+	static char line[READ_SIZE];
+	char text[LOG_LINE_SIZE * 2];
+	json_t *json;
+
+	memset(text, 'x', sizeof(text) - 1);
+	text[sizeof(text) - 1] = '\0';
+	log_into_pipe(0, false);
+	log_info("slice", "event", LOG_TEXT("name", text),
+		 LOG_NUMBER("after", 5));
+	cr_assert_gt(next_write(line), 0);
+	cr_expect_lt(strlen(line), LOG_LINE_SIZE + 1);
+	json = json_loads(line, 0, NULL);
+	cr_assert_not_null(json, "%s", line);
+	cr_expect_str_eq(json_string_value(json_object_get(json, "name")),
+			 "(cut)");
+	cr_expect_eq(json_integer_value(json_object_get(json, "after")), 5);
+	json_decref(json);
+}
+
+static int count_lines(const char *text, const char *part)
+{
+	int count = 0;
+
+	while ((text = strstr(text, part))) {
+		count++;
+		text += strlen(part);
+	}
+	return count;
+}
+
+/*
+ * Symptom: calls stop because nobody reads the log.
+ * Sequence: the collector hangs; the pipe to it fills; the process goes on
+ * logging.
+ * Cause: a write that waits for the reader. Here it costs lines only, the
+ * ordinary ones first, and their number is told once the reader is back.
+ */
+Test(log, a_reader_that_stops_costs_lines_and_nothing_else)
+{
+	static char text[READ_SIZE];
+	int ordinary = 0;
+	int failed = 0;
+	int told = 0;
+	int i;
+
+	log_into_pipe(0, true);
+	for (i = 0; i < MANY; i++)
+		log_request(i % 100 != 0, "call", i % 100 ? "fine" : "failed",
+			    NULL, 0);
+	cr_expect_gt(log_left_out(), 0);
+	for (i = 0; i < MANY; i++) {
+		log_flush(true);
+		if (next_write(text) <= 0)
+			break;
+		ordinary += count_lines(text, "\"fine\"");
+		failed += count_lines(text, "\"failed\"");
+	}
+	log_request(true, "call", "after", NULL, 0);
+	log_flush(true);
+	while (next_write(text) > 0)
+		told += count_lines(text, "\"lines_left_out\"");
+	cr_expect_eq(failed, MANY / 100);
+	cr_expect_gt(ordinary, 100);
+	cr_expect_eq(told, 1);
+}
+
+Test(log, lines_about_requests_have_a_rate)
+{
+	struct log_options options = { .level = LOG_INFO,
+				       .buffered = true,
+				       .requests_per_s = 5 };
+	int ends[2];
+	static char text[READ_SIZE];
+	int i;
+
+	cr_assert_eq(pipe2(ends, O_NONBLOCK), 0);
+	reader = ends[0];
+	options.fd = ends[1];
+	log_init(&options);
+	for (i = 0; i < 50; i++)
+		log_request(i % 2, "call", i % 2 ? "fine" : "failed", NULL, 0);
+	log_flush(true);
+	cr_assert_gt(next_write(text), 0);
+	cr_expect_leq(count_lines(text, "\"fine\""), 10);
+	cr_expect_geq(count_lines(text, "\"failed\""), 5);
+	cr_expect_geq(log_left_out(), 30);
+}
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -6,10 +6,13 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 #include "call/calling.h"
 #include "call/reply.h"
 #include "os/clock.h"
 
+static const char slice[] = "call";
+
 enum { DUMP_CALLS_MAX = 100 };
 
 COUNTER(started, "call.started", "Calls taken from callers");
@@ -34,6 +37,27 @@
 	call_step_simple(call, ATTEMPT_EVENT_GIVE_UP, CALL_CANCELLED);
 }
 
+/* A request that never became a call. */
+static void log_refused(const struct caller *caller,
+			const struct http_exchange *exchange,
+			enum call_reason reason, const char *text)
+{
+	const char *name = caller->options.names->request_id;
+	const struct config *config = caller->options.router->config;
+	const struct log_field fields[] = {
+		LOG_TEXT("request", http_exchange_header(exchange, name)),
+		LOG_TEXT("end", call_reason_name(reason)),
+		LOG_TEXT("verdict", verdict_name(VERDICT_NOT_RUN)),
+		LOG_TEXT("host", http_exchange_header(exchange, "Host")),
+		LOG_TEXT("target", http_exchange_target(exchange)),
+		LOG_NUMBER("version", config ? (int64_t)config->version : 0),
+		LOG_TEXT("text", text),
+	};
+
+	log_request(false, slice, "call", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
 static void refuse(const struct caller *caller, struct http_exchange *exchange,
 		   enum call_reason reason, const char *text)
 {
@@ -41,6 +65,7 @@
 					      .reason = reason };
 
 	call_count_end(VERDICT_NOT_RUN);
+	log_refused(caller, exchange, reason, text);
 	reply_refusal(exchange, caller->options.names, &outcome, "", text);
 }
 
@@ -270,7 +295,7 @@
 	struct call *next;
 
 	DL_FOREACH_SAFE(caller->calls, call, next) {
-		call_leave_endpoint(call, ENDPOINT_CANCELLED, -1);
+		call_leave_endpoint(call, ENDPOINT_CANCELLED, -1, "stopped");
 		call_free(call);
 	}
 	outbound_finish(caller);
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -14,7 +14,11 @@
 #define SERVICE_MARGIN 1.5
 
 /* Each costs a way there and back; after so many a late answer is better. */
-enum { IN_TIME_TRIES_MAX = 4 };
+enum {
+	IN_TIME_TRIES_MAX = 4,
+	STATUS_OK = 200,
+	STATUS_MULTIPLE_CHOICES = 300,
+};
 
 COUNTER(ran, "call.ran", "Calls answered with the upstream's whole answer");
 COUNTER(not_run, "call.not_run", "Calls refused that did not run");
@@ -76,7 +80,7 @@
 
 /* The present try has ended; what has it taught about its endpoint? */
 void call_leave_endpoint(struct call *call, enum endpoint_result result,
-			 double load)
+			 double load, const char *end)
 {
 	struct caller *caller = call->caller;
 
@@ -84,6 +88,8 @@
 	timer_cancel(caller->options.loop, &call->reconnect);
 	if (!call->endpoint)
 		return;
+	trace_try(&call->trace, call->endpoint, end,
+		  now(caller) - call->began_us, now(caller));
 	if (call->tried_count < CALL_ATTEMPTS_MAX) {
 		endpoint_hold(call->endpoint);
 		call->tried[call->tried_count++] = call->endpoint;
@@ -217,6 +223,47 @@
 	}
 }
 
+/* Whether nothing about a call needs to be explained afterwards. */
+static bool is_ordinary(const struct call *call, uint32_t status)
+{
+	return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES &&
+	       call->attempt.tries == 1 && call->pass == CALL_IN_TIME &&
+	       (!call->due_us || now(call->caller) <= call->due_us);
+}
+
+/* The one line of a call beside its caller.
+ * @status: of the upstream's answer; 0 if there is none */
+static void log_end(const struct call *call, const char *end,
+		    enum verdict verdict, uint32_t status)
+{
+	static const char *const passes[] = { "in-time", "late", "refused" };
+	int64_t now_us = clock_monotonic_us();
+	const struct call_terms *terms = &call->intake.terms;
+	const struct log_field fields[] = {
+		LOG_TEXT("request", terms->request_id),
+		LOG_TEXT("end", end),
+		LOG_TEXT("verdict", verdict_name(verdict)),
+		LOG_NUMBER("status", status),
+		LOG_TEXT("service", call->intake.service),
+		LOG_TEXT("kind", terms->kind),
+		LOG_NUMBER("version", (int64_t)call->config->version),
+		LOG_NUMBER("took_ms", (now_us - call->started_us) / US_PER_MS),
+		LOG_NUMBER("upstream_ms",
+			   call->answer.service_us / US_PER_MS),
+		LOG_NUMBER("left_ms",
+			   (terms->deadline_us - now_us) / US_PER_MS),
+		LOG_TEXT("pass", passes[call->pass]),
+		LOG_NUMBER("tries", call->attempt.tries),
+		LOG_TEXT("tried", call->trace.text),
+		LOG_NUMBER("retry_tokens",
+			   (int64_t)call->match.pool->budget.tokens),
+		LOG_NUMBER("upstreams", call->match.pool->count),
+	};
+
+	log_request(is_ordinary(call, status), slice, "call", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
 static void fail(struct call *call, const struct attempt_action *action)
 {
 	struct call_outcome outcome = { .verdict = action->verdict,
@@ -232,13 +279,11 @@
 			    action->cancel && action->reason == CALL_DEADLINE
 				    ? ENDPOINT_FAILED
 				    : ENDPOINT_CANCELLED,
-			    -1);
+			    -1, call_reason_name(action->reason));
 	if (call->exchange) {
 		call_count_end(outcome.verdict);
-		log_info(slice, "call_failed",
-			 LOG_TEXT("request", call->intake.terms.request_id),
-			 LOG_TEXT("verdict", verdict_name(outcome.verdict)),
-			 LOG_TEXT("reason", call_reason_name(outcome.reason)));
+		log_end(call, call_reason_name(outcome.reason),
+			outcome.verdict, 0);
 		reply_refusal(call->exchange, call->caller->options.names,
 			      &outcome, call->intake.terms.request_id, NULL);
 	}
@@ -263,7 +308,8 @@
 	histogram_add(&total_time, total_us);
 	histogram_add(&added_time, total_us - answer->service_us);
 	reply_answer(call->exchange, call->caller->options.names, &whole);
-	call_leave_endpoint(call, ENDPOINT_ANSWERED, answer->load);
+	call_leave_endpoint(call, ENDPOINT_ANSWERED, answer->load, "answered");
+	log_end(call, "answered", VERDICT_RAN, answer->status);
 	call_free(call);
 }
 
@@ -287,7 +333,8 @@
 		reconnect(call, action.delay_us);
 		break;
 	case ATTEMPT_TRY:
-		call_leave_endpoint(call, ENDPOINT_FAILED, -1);
+		call_leave_endpoint(call, ENDPOINT_FAILED, -1,
+				    call_reason_name(action.reason));
 		call_begin_try(call);
 		break;
 	case ATTEMPT_REPLY:
@@ -335,7 +382,8 @@
 	call->refusal = refusal->outcome;
 	if (call->pass == CALL_LATE && is_turned_away(&refusal->outcome))
 		call->pass = CALL_REFUSED;
-	call_leave_endpoint(call, lesson_of(&refusal->outcome), refusal->load);
+	call_leave_endpoint(call, lesson_of(&refusal->outcome), refusal->load,
+			    call_reason_name(refusal->outcome.reason));
 	call_step(call, &event);
 }
 
--- a/src/call/calling.h
+++ b/src/call/calling.h
@@ -4,6 +4,7 @@
 #include "base/buffer.h"
 #include "call/call.h"
 #include "call/terms.h"
+#include "call/trace.h"
 
 /**
  * DOC: calling
@@ -51,6 +52,7 @@
  * @due_us: until then an answer is worth the most; 0 if that does not count
  * @pass: which demands the present try makes
  * @tried: endpoints of earlier tries
+ * @trace: what they met, for the log
  * @reconnect: runs before the next connection is opened to ask
  */
 struct call {
@@ -75,6 +77,7 @@
 	struct call_outcome refusal; /* of the last try */
 	struct endpoint *tried[CALL_ATTEMPTS_MAX];
 	uint32_t tried_count;
+	struct trace trace;
 	struct timer deadline;
 	struct timer reconnect;
 	struct call *chain;
@@ -101,9 +104,12 @@
 /** call_reconnect_expired() - a timer_fn: open a connection to ask on. */
 void call_reconnect_expired(struct timer *timer, void *data);
 
-/** call_leave_endpoint() - the present try has ended and taught this. */
+/**
+ * call_leave_endpoint() - the present try has ended and taught this
+ * @end: how, by a stable name
+ */
 void call_leave_endpoint(struct call *call, enum endpoint_result result,
-			 double load);
+			 double load, const char *end);
 
 /** call_free() - forget a call whose caller has its answer or is gone. */
 void call_free(struct call *call);
--- a/src/call/link.c
+++ b/src/call/link.c
@@ -85,6 +85,11 @@
 	return link->kind == LINK_LOCAL || link->conn->state == WIRE_CONN_OPEN;
 }
 
+const char *link_name(const struct link *link)
+{
+	return link->kind == LINK_LOCAL ? "itself" : link->conn->peer.instance;
+}
+
 bool link_has_room(const struct link *link)
 {
 	size_t queued = link->kind == LINK_LOCAL
--- a/src/call/link.h
+++ b/src/call/link.h
@@ -68,6 +68,9 @@
 /** link_open() - whether frames may be sent. */
 bool link_open(const struct link *link);
 
+/** link_name() - the instance at the other end, "itself" for the own one. */
+const char *link_name(const struct link *link);
+
 /** link_has_room() - whether more parts of a body may be queued. */
 bool link_has_room(const struct link *link);
 
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -22,6 +22,8 @@
 HISTOGRAM(upstream_time, "call.upstream_us",
 	  "Time from the gate to the whole answer of the upstream");
 
+enum { STATUS_SERVER_ERROR = 500 };
+
 static int64_t now(const struct server *server)
 {
 	return loop_now_us(server->options.loop);
@@ -103,6 +105,70 @@
 		sending_start(server, peer, entry);
 }
 
+static const char *end_of(const struct call_outcome *outcome)
+{
+	return outcome->reason == CALL_REASON_NONE
+		       ? "answered"
+		       : call_reason_name(outcome->reason);
+}
+
+/* The line of an attempt beside the upstream, where that was asked. */
+static void log_served(const struct serving *serving,
+		       const struct upstream_judgement *judgement,
+		       const struct http_answer *answer, int64_t took_us)
+{
+	const struct server *server = serving->server;
+	const struct gate_request *gate = &serving->gate;
+	const struct log_field fields[] = {
+		LOG_TEXT("request", serving->terms.request_id),
+		LOG_TEXT("from", serving->peer ? link_name(&serving->peer->link)
+					       : "lost"),
+		LOG_TEXT("start", server->upstream_id),
+		LOG_TEXT("end", end_of(&judgement->outcome)),
+		LOG_TEXT("verdict", verdict_name(judgement->outcome.verdict)),
+		LOG_NUMBER("status", answer->status),
+		LOG_TEXT("text", judgement->answered ? NULL : answer->err->text),
+		LOG_TEXT("kind", serving->terms.kind),
+		LOG_NUMBER("queued_ms",
+			   (gate->started_us - gate->arrived_us) / US_PER_MS),
+		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
+		LOG_TEXT("connection", answer->reused ? "kept" : "new"),
+		LOG_NUMBER("running", server->options.gate->running_count),
+		LOG_NUMBER("waiting", server->options.gate->waiting_count),
+		LOG_NUMBER("limit",
+			   gate_limit(server->options.gate, now(server))),
+	};
+
+	log_request(judgement->answered && answer->status < STATUS_SERVER_ERROR,
+		    slice, "served", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
+/* The line of an attempt that the upstream never saw. */
+static void log_turned_away(const struct serving *serving,
+			    const struct call_outcome *outcome)
+{
+	const struct gate *gate = serving->server->options.gate;
+	const struct log_field fields[] = {
+		LOG_TEXT("request", serving->terms.request_id),
+		LOG_TEXT("from", serving->peer ? link_name(&serving->peer->link)
+					       : "lost"),
+		LOG_TEXT("end", end_of(outcome)),
+		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
+		LOG_TEXT("kind", serving->terms.kind),
+		LOG_NUMBER("back_in_ms", outcome->retry_after_ms),
+		LOG_NUMBER("running", gate->running_count),
+		LOG_NUMBER("waiting", gate->waiting_count),
+		LOG_NUMBER("limit", gate_limit(gate, now(serving->server))),
+		LOG_NUMBER("due_in_ms", (serving->gate.deadline_us -
+					 now(serving->server)) /
+						US_PER_MS),
+	};
+
+	log_request(false, slice, "turned_away", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
 void serving_refused(struct serving *serving, enum call_reason reason)
 {
 	const struct call_outcome outcome = {
@@ -111,6 +177,7 @@
 		.retry_after_ms = (uint32_t)serving->gate.retry_after_ms,
 	};
 
+	log_turned_away(serving, &outcome);
 	serving_end(serving, &outcome, NULL, 0);
 }
 
@@ -129,16 +196,11 @@
 	histogram_add(&upstream_time, took_us);
 	gate_done(server->options.gate, &serving->gate, judgement.lesson,
 		  took_us, now_us);
+	log_served(serving, &judgement, answer, took_us);
 	if (judgement.answered)
 		kept = upstream_keep(server->options.names, answer,
 				     !strcmp(serving->method, "HEAD"), took_us,
 				     &kept_bytes);
-	else
-		log_info(slice, "no_answer",
-			 LOG_TEXT("request", serving->terms.request_id),
-			 LOG_TEXT("verdict",
-				  verdict_name(judgement.outcome.verdict)),
-			 LOG_TEXT("reason", answer->err->text));
 	serving_end(serving, &judgement.outcome, kept, kept_bytes);
 	serving_run_gate(server);
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -62,6 +62,7 @@
 		.headers = headers,
 		.delimited = transfer->delimited,
 		.timed_out = code == ERROR_TIMEOUT,
+		.reused = transfer->reused,
 		.err = &err,
 	};
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -64,6 +64,7 @@
  * struct http_answer - how it ended; valid during the callback only
  * @delimited: the answer told its own length, so that a truncated one would
  *	have been noticed
+ * @reused: it came, or should have come, on a connection used before
  * @err: why there is no whole answer
  */
 struct http_answer {
@@ -75,6 +76,7 @@
 	size_t body_size;
 	bool delimited;
 	bool timed_out;
+	bool reused;
 	const struct error *err;
 };
 
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -429,6 +429,7 @@
 		transfer->conn = conn;
 		http_parser_init(&conn->parser, HTTP_RESPONSE);
 		conn->parser.data = conn;
+		transfer->reused = true;
 		counter_add(&reused_count, 1);
 		write_out(conn);
 		return conn;
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -41,6 +41,7 @@
  * struct http_transfer - one request and its answer
  * @out: of the request, what has not been written yet
  * @written: any byte of it has left
+ * @reused: on a connection that was used before
  * @answering: bytes of an answer have come
  * @complete: the answer is whole
  * @over: what failed, before @done is called
@@ -59,6 +60,7 @@
 	struct buffer out;
 	bool written;
 	bool write_failed;
+	bool reused;
 	char *echo;
 	char *echo_value;
 	struct http_head head;
--- /dev/null
+++ b/src/node/command_explain.c
@@ -0,0 +1,254 @@
+#include <errno.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "call/call_defs.h"
+#include "node/commands.h"
+#include "operator/arguments.h"
+#include "operator/command.h"
+#include "operator/remote.h"
+
+/**
+ * DOC: command explain
+ *
+ * Reads log lines of any number of nodes and tells the story of one request:
+ * its lines in order, and the decision that gave it its end.
+ */
+
+enum { LINE_MAX_SIZE = 16 * 1024, FILES_MAX = 1000 };
+
+static const char summary[] =
+	"Tell the story of one request from the log lines of the nodes that it\n"
+	"passed. Reads the files, or standard input if none are given; what\n"
+	"stands before the JSON object of a line is skipped.";
+
+/**
+ * struct story - lines about one request, as JSON objects
+ * @id: of the request
+ */
+struct story {
+	const char *id;
+	json_t *lines;
+};
+
+static const char *text_of(const json_t *line, const char *name)
+{
+	const char *text = json_string_value(json_object_get(line, name));
+
+	return text ? text : "";
+}
+
+static long long number_of(const json_t *line, const char *name)
+{
+	return json_integer_value(json_object_get(line, name));
+}
+
+static void take_line(struct story *story, const char *text)
+{
+	const char *object = strchr(text, '{');
+	json_t *line;
+
+	/* Most lines are about other requests; parsing them would take long. */
+	if (!object || !strstr(object, story->id))
+		return;
+	line = json_loads(object, JSON_DISABLE_EOF_CHECK, NULL);
+	if (line && !strcmp(text_of(line, "request"), story->id))
+		json_array_append(story->lines, line);
+	json_decref(line);
+}
+
+static void read_lines(struct story *story, FILE *file)
+{
+	char *line = NULL;
+	size_t size = 0;
+
+	while (getline(&line, &size, file) >= 0)
+		take_line(story, line);
+	free(line);
+}
+
+static bool read_file(struct story *story, const char *path)
+{
+	FILE *file = fopen(path, "re");
+
+	if (!file) {
+		fprintf(stderr, "explain: cannot read %s: %s\n", path,
+			strerror(errno));
+		return false;
+	}
+	read_lines(story, file);
+	(void)fclose(file);
+	return true;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const json_t *const *left = a;
+	const json_t *const *right = b;
+
+	return strcmp(text_of(*left, "time"), text_of(*right, "time"));
+}
+
+/* Times are written so that their order is that of their text. */
+static json_t *sorted(const json_t *lines)
+{
+	size_t count = json_array_size(lines);
+	json_t **items = calloc(count + 1, sizeof(json_t *));
+	json_t *list = json_array();
+	size_t i;
+
+	if (!items)
+		abort();
+	for (i = 0; i < count; i++)
+		items[i] = json_array_get(lines, i);
+	qsort((void *)items, count, sizeof(json_t *), by_time);
+	for (i = 0; i < count; i++)
+		json_array_append(list, items[i]);
+	free((void *)items);
+	return list;
+}
+
+static bool is_event(const json_t *line, const char *event)
+{
+	return !strcmp(text_of(line, "event"), event);
+}
+
+/* The line of the caller's node, which tells the end; NULL if it is missing. */
+static const json_t *last_word(const json_t *lines)
+{
+	const json_t *found = NULL;
+	const json_t *line;
+	size_t i;
+
+	json_array_foreach(lines, i, line)
+		if (is_event(line, "call"))
+			found = line;
+	return found;
+}
+
+static const char *reason_text(const char *name)
+{
+	int i;
+
+	for (i = CALL_REASON_NONE + 1; i < CALL_REASONS; i++)
+		if (!strcmp(call_reason_name((enum call_reason)i), name))
+			return call_reason_text((enum call_reason)i);
+	return "";
+}
+
+static void write_cause(const json_t *end, char *cause, size_t size)
+{
+	const char *reason = end ? text_of(end, "end") : "";
+	long long status = end ? number_of(end, "status") : 0;
+
+	if (!end)
+		snprintf(cause, size,
+			 "the line of the caller's node is missing: its log is "
+			 "not among the files, or the line was left out");
+	else if (status >= 500)
+		snprintf(cause, size, "the upstream itself answered with %lld",
+			 status);
+	else if (!strcmp(reason, "answered") &&
+		 !strcmp(text_of(end, "pass"), "late"))
+		snprintf(cause, size,
+			 "answered, but no upstream could do so in time");
+	else if (!strcmp(reason, "answered"))
+		snprintf(cause, size, "answered with %lld", status);
+	else
+		snprintf(cause, size, "%s: %s", reason, reason_text(reason));
+}
+
+static void print_line(const json_t *line)
+{
+	printf("%s %s ", text_of(line, "time"), text_of(line, "instance"));
+	if (is_event(line, "call"))
+		printf("ends the call: %s, %s, status %lld, service %s, version "
+		       "%lld, after %lld ms of which %lld at the upstream, %lld "
+		       "ms left; %lld tries: %s\n",
+		       text_of(line, "end"), text_of(line, "verdict"),
+		       number_of(line, "status"), text_of(line, "service"),
+		       number_of(line, "version"), number_of(line, "took_ms"),
+		       number_of(line, "upstream_ms"),
+		       number_of(line, "left_ms"), number_of(line, "tries"),
+		       text_of(line, "tried"));
+	else if (is_event(line, "served"))
+		printf("asked its upstream for %s: %s, %s, status %lld, after "
+		       "%lld ms in the queue and %lld ms there, on a %s "
+		       "connection %s\n",
+		       text_of(line, "from"), text_of(line, "end"),
+		       text_of(line, "verdict"), number_of(line, "status"),
+		       number_of(line, "queued_ms"),
+		       number_of(line, "upstream_ms"),
+		       text_of(line, "connection"), text_of(line, "text"));
+	else if (is_event(line, "turned_away"))
+		printf("turned it away for %s: %s, with %lld running, %lld "
+		       "waiting, limit %lld, due in %lld ms\n",
+		       text_of(line, "from"), text_of(line, "end"),
+		       number_of(line, "running"), number_of(line, "waiting"),
+		       number_of(line, "limit"), number_of(line, "due_in_ms"));
+	else
+		printf("%s %s\n", text_of(line, "slice"),
+		       text_of(line, "event"));
+}
+
+static int tell(const struct story *story, bool json)
+{
+	json_t *lines = sorted(story->lines);
+	char cause[256];
+	const json_t *line;
+	size_t i;
+
+	write_cause(last_word(lines), cause, sizeof(cause));
+	if (json) {
+		json_t *told = json_pack("{s:s,s:s,s:O}", "request", story->id,
+					 "cause", cause, "lines", lines);
+
+		remote_print_json(told);
+		json_decref(told);
+	} else {
+		json_array_foreach(lines, i, line)
+			print_line(line);
+		printf("cause: %s\n", cause);
+	}
+	json_decref(lines);
+	return EXIT_STATUS_OK;
+}
+
+static int explain(struct story *story, const struct arg_file *files, bool json)
+{
+	int i;
+
+	for (i = 0; i < files->count; i++)
+		if (!read_file(story, files->filename[i]))
+			return EXIT_STATUS_FAILED;
+	if (!files->count)
+		read_lines(story, stdin);
+	if (json_array_size(story->lines))
+		return tell(story, json);
+	fprintf(stderr, "explain: no line tells of request %s\n", story->id);
+	return EXIT_STATUS_INVALID;
+}
+
+int command_explain(int argc, char **argv)
+{
+	struct arg_str *id = arg_str1(NULL, NULL, "ID", "the request's id");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 0, FILES_MAX, "log files");
+	struct story story;
+	struct arguments args;
+	int status;
+
+	arguments_init(&args, "explain", summary, ARGUMENTS_LOCAL);
+	arguments_add(&args, id);
+	arguments_add(&args, files);
+	story.lines = json_array();
+	if (arguments_parse(&args, argc, argv, &status)) {
+		story.id = id->sval[0];
+		status = explain(&story, files, args.json->count > 0);
+	}
+	json_decref(story.lines);
+	arguments_finish(&args);
+	return status;
+}
--- a/src/node/commands.c
+++ b/src/node/commands.c
@@ -15,6 +15,7 @@
 	COMMAND_DRILL,
 	COMMAND_CHECK,
 	COMMAND_SETTINGS,
+	COMMAND_EXPLAIN,
 	COMMAND_COUNT,
 };
 
@@ -33,6 +34,8 @@
 	[COMMAND_DRILL] = { "drill", "rehearse a partition" },
 	[COMMAND_CHECK] = { "check", "check a file of settings or a profile" },
 	[COMMAND_SETTINGS] = { "settings", "print all settings of a node" },
+	[COMMAND_EXPLAIN] = { "explain",
+			      "tell the story of one request from logs" },
 };
 
 static void print_usage(FILE *out)
@@ -73,6 +76,8 @@
 		return command_check(argc, argv);
 	case COMMAND_SETTINGS:
 		return command_settings(argc, argv);
+	case COMMAND_EXPLAIN:
+		return command_explain(argc, argv);
 	case COMMAND_COUNT:
 		break;
 	}
--- a/src/node/commands.h
+++ b/src/node/commands.h
@@ -22,6 +22,9 @@
 /** command_check() - check a file of settings or a profile. */
 int command_check(int argc, char **argv);
 
+/** command_explain() - the story of one request, from log lines. */
+int command_explain(int argc, char **argv);
+
 /** command_settings() - print the reference of all settings. */
 int command_settings(int argc, char **argv);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -372,6 +372,8 @@
 		.data_centre = settings->node.data_centre,
 		.instance = settings->node.instance,
 		.rate_per_s = (uint32_t)settings->log.rate_per_s,
+		.requests_per_s = (uint32_t)settings->log.requests_per_s,
+		.buffered = true,
 	};
 	struct node *node = calloc(1, sizeof(*node));
 	struct error err = ERROR_INIT;
@@ -383,11 +385,14 @@
 	node->settings_path = path;
 	if (!start(node, &err)) {
 		log_error(slice, "cannot_start", LOG_TEXT("reason", err.text));
+		log_flush(true);
 		return EXIT_STATUS_FAILED;
 	}
 	log_ready(node);
+	log_flush(true);
 	while (!node->stopped) {
 		loop_turn(&node->loop, TURN_MAX_US);
+		log_flush(false);
 		if (stop_asked && !node->leaving)
 			begin_leaving(node);
 		if (reload_asked) {
@@ -397,6 +402,7 @@
 	}
 	stop(node);
 	log_info(slice, "stopped");
+	log_flush(true);
 	free(node);
 	return EXIT_STATUS_OK;
 }
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -81,6 +81,7 @@
 struct settings_log {
 	enum log_level level;
 	int64_t rate_per_s;
+	int64_t requests_per_s;
 };
 
 /**
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -80,6 +80,9 @@
 	     "Least level written: debug, info, warn or error"),
 	NUMBER(log.rate_per_s, "rate_per_s", 0, 1000000, "20",
 	       "Lines of one event; more are counted; 0 for no limit"),
+	NUMBER(log.requests_per_s, "requests_per_s", 0, 1000000, "200",
+	       "Lines about requests that went well, and as many about all "
+	       "others; 0 for no limit"),
 };
 
 static const struct schema_field membership_fields[] = {
--- a/src/os/clock.c
+++ b/src/os/clock.c
@@ -6,7 +6,7 @@
 {
 	struct timespec now;
 
-	clock_gettime(CLOCK_MONOTONIC, &now);
+	clock_gettime(CLOCK_BOOTTIME, &now);
 	return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / 1000;
 }
 
