--- a/src/membership/gossip.c
+++ b/src/membership/gossip.c
@@ -198,7 +198,8 @@
 	const struct identity *self = &gossip->hub->self;
 	struct record own = { .incarnation = self->incarnation,
 			      .sequence = 1,
-			      .address = self->address };
+			      .address = self->address,
+			      .fitness = options->fitness };
 	struct address address = self->address;
 
 	gossip->fd = net_bind_udp(&address, err);
--- a/src/membership/packet.c
+++ b/src/membership/packet.c
@@ -121,7 +121,7 @@
 	encode_uint(encoder, record->state);
 	encode_uint(encoder, record->slots);
 	encode_int(encoder, record->serving_age_ms);
-	encode_uint(encoder, 0); /* room for flags */
+	encode_uint(encoder, record->fitness);
 }
 
 static bool decode_status(const msgpack_object *object,
@@ -141,6 +141,7 @@
 	struct record *record = &item->record;
 	uint64_t state;
 	uint64_t slots;
+	uint64_t fitness;
 
 	if (!decode_status(&f[1], &item->status, err) ||
 	    !decode_text(&f[2], record->instance, NAME_SIZE, "instance", err) ||
@@ -157,8 +158,10 @@
 			 err) ||
 	    !decode_uint(&f[10], STATES, &state, "state", err) ||
 	    !decode_uint(&f[11], SLOTS_MAX, &slots, "slots", err) ||
-	    !decode_int(&f[12], &record->serving_age_ms, "age", err))
+	    !decode_int(&f[12], &record->serving_age_ms, "age", err) ||
+	    !decode_uint(&f[13], FITNESS_MAX, &fitness, "fitness", err))
 		return false;
+	record->fitness = (uint8_t)fitness;
 	record->state = (enum upstream_state)state;
 	record->slots = (uint32_t)slots;
 	if (record->instance[0] && record->data_centre[0])
--- a/src/membership/record.h
+++ b/src/membership/record.h
@@ -31,6 +31,7 @@
  * @incarnation: differs each time that the node starts, and grows
  * @sequence: raised by the owner with each change
  * @slots: requests that the upstream runs at once
+ * @fitness: for duties of the data centre, 0 to 15; the fitter go first
  * @serving_age_ms: how long it had served when the record was written
  */
 struct record {
@@ -43,9 +44,12 @@
 	uint64_t sequence;
 	enum upstream_state state;
 	uint32_t slots;
+	uint8_t fitness;
 	int64_t serving_age_ms;
 };
 
+enum { FITNESS_MAX = 15 };
+
 /** record_newer() - whether @a replaces @b. */
 static inline bool record_newer(const struct record *a, const struct record *b)
 {
--- a/src/membership/table.c
+++ b/src/membership/table.c
@@ -5,7 +5,13 @@
 
 #include "membership/members_defs.h"
 
-enum { FIRST_CAPACITY = 16, FLOOR_PEERS_MIN = 3, DEAF_INTERVALS = 5 };
+enum {
+	FIRST_CAPACITY = 16,
+	FLOOR_PEERS_MIN = 3,
+	DEAF_INTERVALS = 5,
+	/* Of a score; its low bits decide among the equally fit. */
+	FITNESS_SHIFT = 60,
+};
 
 struct data_centre *table_centre(const struct members *members, uint64_t id)
 {
@@ -374,9 +380,13 @@
 	HASH_ADD(hh, members->forgotten, id, sizeof(forgotten->id), forgotten);
 }
 
-static uint64_t duty_score(const char *duty, uint64_t id)
+/* Those that are equally fit share duties by chance, each duty anew. */
+static uint64_t duty_score(const char *duty, const struct member *member)
 {
-	return XXH3_64bits_withSeed(duty, strlen(duty), id);
+	uint64_t chance = XXH3_64bits_withSeed(duty, strlen(duty), member->id);
+
+	return (uint64_t)member->record.fitness << FITNESS_SHIFT |
+	       chance >> (64 - FITNESS_SHIFT);
 }
 
 static bool eligible(const struct member *member)
@@ -386,7 +396,7 @@
 
 uint32_t members_rank(const struct members *members, const char *duty)
 {
-	uint64_t own = duty_score(duty, members->id);
+	uint64_t own = duty_score(duty, members->self);
 	const struct data_centre *home = members->home;
 	uint32_t rank = 0;
 	uint32_t i;
@@ -396,7 +406,7 @@
 	for (i = 0; i < home->count; i++)
 		rank += home->members[i] != members->self &&
 			eligible(home->members[i]) &&
-			duty_score(duty, home->members[i]->id) > own;
+			duty_score(duty, home->members[i]) > own;
 	return rank;
 }
 
@@ -413,7 +423,7 @@
 	if (most > MEMBERS_LINKS_MAX)
 		most = MEMBERS_LINKS_MAX;
 	for (i = 0; most && i < centre->count; i++) {
-		uint64_t score = duty_score(duty, centre->members[i]->id);
+		uint64_t score = duty_score(duty, centre->members[i]);
 
 		if (!eligible(centre->members[i]))
 			continue;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -28,8 +28,12 @@
 	LAST_WORDS_MS = 100,
 	GIVE_BACK_MS = 1000,
 	LOAD_SLACK = 64,
+	BYTES_PER_MBIT = 125000,
 };
 
+/* Of a link, for giving versions to others. */
+#define SERVE_SHARE 0.25
+
 static struct loop *signalled_loop;
 static volatile sig_atomic_t stop_asked;
 static volatile sig_atomic_t reload_asked;
@@ -81,6 +85,27 @@
 	return wire_hub_init(&node->hub, &node->loop, &self, &key, err);
 }
 
+/* Duties move bytes for a whole data centre: a link of twice the width makes
+ * a node fitter by one. */
+static uint8_t fitness_of(double link_mbps)
+{
+	uint8_t fitness = 0;
+
+	for (; link_mbps >= 2 && fitness < FITNESS_MAX; link_mbps /= 2)
+		fitness++;
+	return fitness;
+}
+
+/* What may be given to nodes that lack a version: a part of the link, or calls
+ * would wait behind it. */
+static int64_t serve_bytes_per_s(const struct settings *settings)
+{
+	double most = settings->node.link_mbps * BYTES_PER_MBIT * SERVE_SHARE;
+	int64_t set = settings->spread.serve_bytes_per_s;
+
+	return most > 0 && most < (double)set ? (int64_t)most : set;
+}
+
 static bool start_gossip(struct node *node, struct error *err)
 {
 	const struct settings_membership *from = &node->settings->membership;
@@ -101,6 +126,7 @@
 	options.floor_share = from->floor_share;
 	options.serve_bytes_per_s = (uint32_t)from->serve_bytes_per_s;
 	options.eager = from->eager;
+	options.fitness = fitness_of(node->settings->node.link_mbps);
 	options.seed = node_seed();
 	return gossip_init(&node->gossip, &options, &node->loop, &node->hub,
 			   node->settings->peers.seeds,
@@ -116,7 +142,8 @@
 	options.plain = from->plain;
 	options.pull_timeout_us = from->pull_timeout_ms * US_PER_MS;
 	options.serves_max = (uint32_t)from->serves_max;
-	options.serve_bytes_per_s = (uint32_t)from->serve_bytes_per_s;
+	options.serve_bytes_per_s =
+		(uint32_t)serve_bytes_per_s(node->settings);
 	options.push_bytes = (uint32_t)from->push_bytes;
 	options.seed = node_seed();
 	spread_net_init(&node->spread, &options, &node->loop, &node->hub,
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -31,6 +31,7 @@
  * struct settings_node - which process this is
  * @form: of the interface towards callers, the upstream and the store
  * @service: of the upstream beside, told to upstreams that are called
+ * @link_mbps: of the instance's own link, 0 if that is not known
  */
 struct settings_node {
 	char deployment[NAME_SIZE];
@@ -38,6 +39,7 @@
 	char instance[NAME_SIZE];
 	enum interface_form form;
 	char service[SERVICE_NAME_SIZE];
+	double link_mbps;
 };
 
 /** struct settings_listen - where it listens; port 0 lets the kernel pick. */
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -25,6 +25,10 @@
 	     "service: own or platform"),
 	TEXT(settings.node.service, "service", 0, "",
 	     "Service beside, told to upstreams that ask who calls"),
+	SCHEMA_FIELD_REAL(struct settings_draft, settings.node.link_mbps,
+			  "link_mbps", 0, 1000000, "0",
+			  "Megabits a second of this instance's link, by which "
+			  "duties and bulk are dealt out; 0 if not known"),
 };
 
 static const struct schema_field listen_fields[] = {
--- a/src/profile/keeper.c
+++ b/src/profile/keeper.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "base/pack.h"
 
 /* The keys are hashes already: any four bytes of them will do, at a small
  * part of the time that hashing them again takes. */
@@ -30,11 +31,13 @@
 
 /* A text by its hash; @bytes is NULL while it is missing. @profile is what it
  * says, under the first name that has it, once parsed; NULL if it is invalid
- * or was not needed. */
+ * or was not needed. @packed is made when somebody first asks for it. */
 struct keeper_body {
 	uint8_t hash[CONTENT_HASH_BYTES];
 	uint8_t *bytes;
 	size_t size;
+	uint8_t *packed;
+	size_t packed_size;
 	struct profile *profile;
 	bool needed;
 	UT_hash_handle hh;
@@ -48,6 +51,7 @@
 static void body_free(struct keeper_body *body)
 {
 	free(body->bytes);
+	free(body->packed);
 	profile_free(body->profile);
 	free(body);
 }
@@ -303,8 +307,12 @@
 
 		memcpy(entry->hash, wanted->hash, CONTENT_HASH_BYTES);
 		entry->set_in = wanted->set_in;
+		entry->held_since = head->version;
 		entry->profile = reuse(keeper, wanted, &at);
-		if (!entry->profile)
+		if (entry->profile)
+			entry->held_since =
+				keeper->config->profiles[at].held_since;
+		else
 			entry->profile = parse_body(keeper, wanted, err);
 		if (!entry->profile) {
 			config_unref(config);
@@ -494,6 +502,22 @@
 	return body->bytes;
 }
 
+const uint8_t *keeper_packed(const struct keeper *keeper,
+			     const uint8_t hash[CONTENT_HASH_BYTES],
+			     size_t *packed_size, size_t *size)
+{
+	struct keeper_body *body = find_body(keeper, hash);
+
+	if (!body || !body->bytes)
+		return NULL;
+	if (!body->packed)
+		body->packed = pack_bytes(body->bytes, body->size,
+					  &body->packed_size);
+	*packed_size = body->packed_size;
+	*size = body->size;
+	return body->packed;
+}
+
 uint8_t *keeper_head_since(const struct keeper *keeper, uint64_t version,
 			   size_t *size)
 {
--- a/src/profile/keeper.h
+++ b/src/profile/keeper.h
@@ -143,6 +143,14 @@
 /** keeper_dump() - its state for people, to be freed by json_decref(). */
 json_t *keeper_dump(const struct keeper *keeper);
 
+/**
+ * keeper_packed() - as keeper_body(), but packed for the network
+ * @size: of the body itself
+ */
+const uint8_t *keeper_packed(const struct keeper *keeper,
+			     const uint8_t hash[CONTENT_HASH_BYTES],
+			     size_t *packed_size, size_t *size);
+
 /** keeper_body() - a body in force by its hash, NULL if it is not held. */
 const uint8_t *keeper_body(const struct keeper *keeper,
 			   const uint8_t hash[CONTENT_HASH_BYTES],
--- a/src/spread/serve.c
+++ b/src/spread/serve.c
@@ -108,16 +108,37 @@
 	spread->counts.heads_sent++;
 }
 
-static void send_body(struct spread *spread, uint64_t conn,
-		      const struct address *to, const uint8_t *body,
-		      size_t size, uint32_t more)
+/* Return: false if the body is not held any more. */
+static bool send_body(struct spread *spread, uint64_t conn,
+		      const struct address *to,
+		      const uint8_t hash[CONTENT_HASH_BYTES], uint32_t more)
 {
-	encoder_begin(&spread->encoder, FRAME_SPREAD_BODY, 2);
-	encode_bytes(&spread->encoder, body, size);
+	size_t packed_size;
+	size_t size;
+	const uint8_t *packed =
+		keeper_packed(spread->keeper, hash, &packed_size, &size);
+
+	if (!packed)
+		return false;
+	encoder_begin(&spread->encoder, FRAME_SPREAD_BODY, 3);
+	encode_bytes(&spread->encoder, packed, packed_size);
 	encode_uint(&spread->encoder, more);
+	encode_uint(&spread->encoder, size);
 	spread_queue_frame(spread, conn, to, false);
-	spread->serve_tokens -= (double)size + BODY_FRAME_BYTES;
+	spread->serve_tokens -= (double)packed_size + BODY_FRAME_BYTES;
 	spread->counts.bodies_sent++;
+	return true;
+}
+
+/*
+ * Whether a node at @since has the text. A head that was made of a document
+ * without history says of every profile that it has changed; sent along each
+ * time, the unchanged ones would fill thin links. What this node has had all
+ * along was the same in the version in between.
+ */
+static bool is_had(const struct config_profile *entry, uint64_t since)
+{
+	return entry->set_in <= since || entry->held_since <= since;
 }
 
 /* Whether an earlier profile of the list has the same text. */
@@ -126,7 +147,7 @@
 	uint32_t i;
 
 	for (i = 0; i < at; i++)
-		if (config->profiles[i].set_in > since &&
+		if (!is_had(&config->profiles[i], since) &&
 		    !memcmp(config->profiles[i].hash, config->profiles[at].hash,
 			    CONTENT_HASH_BYTES))
 			return true;
@@ -146,7 +167,7 @@
 		const struct config_profile *entry = &config->profiles[i];
 		size_t size;
 
-		if (entry->set_in <= since || repeats(config, i, since))
+		if (is_had(entry, since) || repeats(config, i, since))
 			continue;
 		if (!keeper_body(spread->keeper, entry->hash, &size) ||
 		    size > most_bytes)
@@ -167,11 +188,8 @@
 	for (i = 0; i < count; i++) {
 		const struct config_profile *entry =
 			&config->profiles[chosen[i]];
-		size_t size = 0;
-		const uint8_t *body =
-			keeper_body(spread->keeper, entry->hash, &size);
 
-		send_body(spread, conn, to, body, size, count - 1 - i);
+		send_body(spread, conn, to, entry->hash, count - 1 - i);
 	}
 }
 
@@ -240,20 +258,15 @@
 		return true;
 	}
 	for (i = 0; i < count && i < SPREAD_HASHES_MAX; i++) {
-		const uint8_t *body;
-		size_t size;
-
 		if (!decode_fixed(&hashes[i], hash, CONTENT_HASH_BYTES, "hash",
 				  err))
 			return false;
-		body = keeper_body(spread->keeper, hash, &size);
 		/* It has moved on: its new head names what to ask for. */
-		if (!body) {
+		if (!send_body(spread, conn, &peer->address, hash,
+			       count - 1 - i)) {
 			send_not_held(spread, conn, peer);
 			return true;
 		}
-		send_body(spread, conn, &peer->address, body, size,
-			  count - 1 - i);
 	}
 	return true;
 }
--- a/src/spread/spread.c
+++ b/src/spread/spread.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/pack.h"
 #include "membership/packet.h"
 #include "os/clock.h"
 #include "spread/spread_defs.h"
@@ -288,18 +289,27 @@
 	uint64_t pending = keeper_pending_version(spread->keeper);
 	struct error why = ERROR_INIT;
 	enum keeper_offer offer;
-	const uint8_t *body;
+	const uint8_t *packed;
+	uint8_t *body;
 	uint64_t more;
-	size_t size;
-
-	if (!decode_count(message, 2, "body", err) ||
-	    !decode_bytes(&message->fields[0], &body, &size, "body", err) ||
-	    !decode_uint(&message->fields[1], UINT32_MAX, &more, "more", err))
+	uint64_t size;
+	size_t packed_size;
+
+	if (!decode_count(message, 3, "body", err) ||
+	    !decode_bytes(&message->fields[0], &packed, &packed_size, "body",
+			  err) ||
+	    !decode_uint(&message->fields[1], UINT32_MAX, &more, "more", err) ||
+	    !decode_uint(&message->fields[2], PROFILE_TEXT_MAX, &size, "size",
+			 err))
+		return false;
+	body = pack_restore(packed, packed_size, size, err);
+	if (!body)
 		return false;
 	spread->counts.bodies_received++;
 	spread->offering = true;
 	offer = keeper_offer_body(spread->keeper, body, size, &why);
 	spread->offering = false;
+	free(body);
 	progress(spread);
 	switch (offer) {
 	case KEEPER_REFUSED:
