reader: patience by size, no watch that is not needed; routes by hash; warm connections

Cause: at 85 machines every node watched the store from its start on, each alone and so first in rank, and was sent each version whole (300 kB over 5 Mbit/s); word of the source took longer than 0.9 s through 25 nodes, so that nodes stepped in again and again; the first second's calls waited for each other's new connections. Ruled out: processor time (no charge: the same), the table of host routes (now found by hash, 0.3 ms for 1,400).

--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -3,6 +3,7 @@
 
 #include "call/call.h"
 #include "call/serve.h"
+#include "call/warm.h"
 
 /**
  * DOC: calls
@@ -25,6 +26,7 @@
  *	largest are kept whatever this says
  * @callers: the callers' HTTP server, whose answers a drain waits for and
  *	whose connections it ends with them; may be NULL
+ * @warm_connections: see warm_init()
  * @drained: called once after calls_drain(), when nothing is left
  */
 struct calls_options {
@@ -46,6 +48,7 @@
 	bool ask_back;
 	uint32_t outcome_max;
 	size_t outcome_max_bytes;
+	uint32_t warm_connections;
 	void (*drained)(void *data);
 	void *data;
 };
@@ -55,6 +58,7 @@
 	struct caller caller;
 	struct server server;
 	struct link_pipe to_server;
+	struct warm warm;
 	struct timer drain_check;
 	int64_t drain_until_us;
 	bool draining;
--- /dev/null
+++ b/src/call/warm.c
@@ -0,0 +1,75 @@
+#include "call/warm.h"
+
+#include <string.h>
+
+#include "base/counter.h"
+#include "os/clock.h"
+
+enum {
+	/* Two in each step make 20 in 1.5 seconds, at a part of a slow
+	 * processor that nobody misses. */
+	STEP_MS = 150,
+	PER_STEP = 2,
+	/* Once all are open, only now and then one has to be replaced. */
+	REST_MS = 1000,
+};
+
+COUNTER(warmed, "call.connections_warmed",
+	"Connections to other nodes opened before a call needed them");
+
+static bool is_wanted(const struct warm *warm, const struct endpoint *endpoint)
+{
+	return endpoint->local && endpoint->reachable &&
+	       endpoint->record.state == UPSTREAM_SERVING &&
+	       strcmp(endpoint->record.instance, warm->hub->self.instance) != 0;
+}
+
+/* Return: how many were opened in this step. */
+static uint32_t step(struct warm *warm)
+{
+	struct endpoint *endpoint;
+	uint32_t wanted = 0;
+	uint32_t opened = 0;
+
+	for (endpoint = warm->router->endpoints;
+	     endpoint && wanted < warm->most && opened < PER_STEP;
+	     endpoint = endpoint->by_instance.next) {
+		if (!is_wanted(warm, endpoint))
+			continue;
+		wanted++;
+		if (wire_hub_connected(warm->hub, &endpoint->record.address))
+			continue;
+		wire_hub_connect(warm->hub, &endpoint->record.address);
+		counter_add(&warmed, 1);
+		opened++;
+	}
+	return opened;
+}
+
+static void expired(struct timer *timer, void *data)
+{
+	struct warm *warm = data;
+	int64_t wait_ms = step(warm) ? STEP_MS : REST_MS;
+
+	timer_set(warm->loop, timer,
+		  loop_now_us(warm->loop) + wait_ms * US_PER_MS);
+}
+
+void warm_init(struct warm *warm, struct loop *loop, struct wire_hub *hub,
+	       struct router *router, uint32_t most)
+{
+	memset(warm, 0, sizeof(*warm));
+	warm->loop = loop;
+	warm->hub = hub;
+	warm->router = router;
+	warm->most = most;
+	timer_init(&warm->timer, expired, warm);
+	if (most)
+		timer_set(loop, &warm->timer,
+			  loop_now_us(loop) + STEP_MS * US_PER_MS);
+}
+
+void warm_finish(struct warm *warm)
+{
+	timer_cancel(warm->loop, &warm->timer);
+}
--- a/src/node/lookup.c
+++ b/src/node/lookup.c
@@ -13,7 +13,8 @@
 enum {
 	/* All nodes may start within a fraction of a second: they spread over
 	 * it, so that the later ones find the earlier ones written down. */
-	FIRST_SPREAD_MS = 100,
+	SPREAD_MS = 100,
+	FIRST_START_SPREAD_MS = 1500,
 	LONELY_BASE_MS = 250,
 	LONELY_MOST_MS = 2000,
 	/* Knocks need a round trip; who was not answered by the second look
@@ -216,8 +217,10 @@
 }
 
 void lookup_init(struct lookup *lookup, struct loop *loop, struct store *store,
-		 struct gossip *gossip, uint64_t seed)
+		 struct gossip *gossip, bool first_start, uint64_t seed)
 {
+	int64_t spread_ms = first_start ? FIRST_START_SPREAD_MS : SPREAD_MS;
+
 	memset(lookup, 0, sizeof(*lookup));
 	lookup->loop = loop;
 	lookup->store = store;
@@ -225,7 +228,7 @@
 	lookup->wait_ms = LONELY_BASE_MS;
 	random_init(&lookup->random, seed);
 	timer_init(&lookup->timer, look, lookup);
-	look_in(lookup, random_jitter(&lookup->random, FIRST_SPREAD_MS));
+	look_in(lookup, random_jitter(&lookup->random, spread_ms));
 }
 
 void lookup_check(struct lookup *lookup)
--- a/src/node/lookup.h
+++ b/src/node/lookup.h
@@ -44,9 +44,13 @@
 	bool stopped;
 };
 
-/** lookup_init() - begin to look at once; all pointers outlive it. */
+/**
+ * lookup_init() - begin to look soon; all pointers outlive it
+ * @first_start: the whole deployment starts for the first time: nobody is
+ *	written down yet and nobody waits
+ */
 void lookup_init(struct lookup *lookup, struct loop *loop, struct store *store,
-		 struct gossip *gossip, uint64_t seed);
+		 struct gossip *gossip, bool first_start, uint64_t seed);
 
 /** lookup_alone() - whether no other node can be reached at present. */
 bool lookup_alone(const struct lookup *lookup);
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -31,6 +31,7 @@
  * struct settings_node - which process this is
  * @form: of the interface towards callers, the upstream and the store
  * @service: of the upstream beside, told to upstreams that are called
+ * @first_start: the whole deployment starts for the first time
  * @link_mbps: of the instance's own link, 0 if that is not known
  */
 struct settings_node {
@@ -39,6 +40,7 @@
 	char instance[NAME_SIZE];
 	enum interface_form form;
 	char service[SERVICE_NAME_SIZE];
+	bool first_start;
 	double link_mbps;
 };
 
@@ -149,6 +151,7 @@
 	int64_t drain_ms;
 	int64_t linger_ms;
 	bool ask_back;
+	int64_t warm_connections;
 	int64_t outcome_max;
 	int64_t outcome_max_bytes;
 };
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -25,6 +25,9 @@
 	     "service: own or platform"),
 	TEXT(settings.node.service, "service", 0, "",
 	     "Service beside, told to upstreams that ask who calls"),
+	SWITCH(node.first_start, "first_start", "false",
+	       "The whole deployment starts for the first time: nodes take "
+	       "more time to meet and trouble the store less"),
 	SCHEMA_FIELD_REAL(struct settings_draft, settings.node.link_mbps,
 			  "link_mbps", 0, 1000000, "0",
 			  "Megabits a second of this instance's link, by which "
@@ -156,6 +159,9 @@
 	       "How long callers are still served once this node stops"),
 	SWITCH(call.ask_back, "ask_back", "true",
 	       "Ask about a request over a new connection after silence"),
+	NUMBER(call.warm_connections, "warm_connections", 0, 1000, "0",
+	       "Nodes of the own data centre to which connections are opened "
+	       "before calls need them"),
 	NUMBER(call.outcome_max, "outcome_max", 0, 10000000, "16384",
 	       "Ended requests whose outcome is kept to be asked about"),
 	NUMBER(call.outcome_max_bytes, "outcome_max_bytes", 0, 1073741824,
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -19,6 +19,11 @@
 	MEMBERS_WRITTEN_MAX = 16,
 	FIRST_RANK_MS = 300,
 	RANK_EVERY_MS = 1000,
+	/* A node that starts hears of peers within a few round trips, and gets
+	 * a version from them for less than from the service. */
+	GRACE_MS = 400,
+	/* When all start for the first time there is nobody to serve yet. */
+	FIRST_GRACE_MS = 2500,
 	/* Well below the time after which the service counts as unread. */
 	SOURCE_EVERY_MS = 200,
 	/* A node with seeds that hears of nobody for so long is alone. */
@@ -95,6 +100,20 @@
 	reader_find_members(&node->reader, take_members, node);
 }
 
+
+static int64_t grace_us(const struct node *node)
+{
+	int64_t grace_ms = node->settings->node.first_start ? FIRST_GRACE_MS
+							    : GRACE_MS;
+
+	return grace_ms * US_PER_MS;
+}
+
+static bool grace_is_over(const struct node *node)
+{
+	return loop_now_us(&node->loop) >= node->started_us + grace_us(node);
+}
+
 /* What this node and others of the data centre know of the service. */
 static void exchange_source(struct node *node)
 {
@@ -102,8 +121,11 @@
 		return;
 	members_source_read(&node->gossip.members,
 			    reader_contact_us(&node->reader));
+	reader_set_nodes(&node->reader, members_live(&node->gossip.members));
 	reader_set_source(&node->reader, node->gossip.members.source_us);
-	reader_set_rank(&node->reader, gossip_rank(&node->gossip, "reader"));
+	if (!lookup_alone(&node->lookup) || grace_is_over(node))
+		reader_set_rank(&node->reader,
+				gossip_rank(&node->gossip, "reader"));
 	lookup_check(&node->lookup);
 }
 
@@ -192,8 +214,12 @@
 	editor_init(&node->editor, &node->loop, &node->store, &node->keeper,
 		    node_seed());
 	if (by_rank(node)) {
+		reader_set_source(&node->reader,
+				  node->started_us + grace_us(node));
+		reader_set_rank(&node->reader, UINT32_MAX);
 		lookup_init(&node->lookup, &node->loop, &node->store,
-			    &node->gossip, node_seed());
+			    &node->gossip, node->settings->node.first_start,
+			    node_seed());
 		timer_init(&node->look_timer, look_by_rank, node);
 		exchange_source(node);
 	}
--- a/src/profile/keeper.c
+++ b/src/profile/keeper.c
@@ -331,6 +331,17 @@
 		observer->changed(keeper->config, observer->data);
 }
 
+/* Profiles whose text this version has changed. */
+static uint32_t count_changed(const struct config *config)
+{
+	uint32_t count = 0;
+	uint32_t i;
+
+	for (i = 0; i < config->profile_count; i++)
+		count += config->profiles[i].held_since == config->version;
+	return count;
+}
+
 static void swap(struct keeper *keeper, struct config *config)
 {
 	struct config *old = keeper->config;
@@ -351,7 +362,8 @@
 	counter_set(&version_gauge, (int64_t)config->version);
 	log_info("config", "version_in_force",
 		 LOG_NUMBER("version", (int64_t)config->version),
-		 LOG_NUMBER("profiles", config->profile_count));
+		 LOG_NUMBER("profiles", config->profile_count),
+		 LOG_NUMBER("changed", count_changed(config)));
 }
 
 static enum keeper_offer commit_if_whole(struct keeper *keeper,
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -211,7 +211,9 @@
 		.kind = STORE_WATCH,
 		.key = KEY_HEAD,
 		.revision = revision,
-		.wait_ms = READER_WATCH_MS,
+		.wait_ms = reader->core.election == READER_BY_RANK
+				   ? READER_LONG_WATCH_MS
+				   : READER_WATCH_MS,
 	};
 
 	reader->head_call =
@@ -281,7 +283,8 @@
 	body->call = store_send(body->reader->store, &request, body_done, body);
 }
 
-/* Return: when to try again, if bodies are missing and must wait. */
+/* Return: when to try again, if bodies are missing and must wait. Where the
+ * service holds a document, it has no bodies: peers give them. */
 static int64_t fetch_bodies(struct reader *reader, int64_t now_us)
 {
 	uint8_t hashes[READER_BODIES_MAX * 2][CONTENT_HASH_BYTES];
@@ -292,6 +295,8 @@
 
 	if (!count || !reader_core_holds(&reader->core, now_us))
 		return INT64_MAX;
+	if (reader->form == INTERFACE_PLATFORM)
+		return INT64_MAX;
 	if (now_us < reader->body_us)
 		return reader->body_us;
 	if (count > READER_BODIES_MAX * 2)
@@ -387,6 +392,9 @@
 	case READER_GET_MEMBERS:
 		get_members(reader);
 		return;
+	case READER_STOP_WATCH:
+		cancel(&reader->head_call);
+		return;
 	}
 }
 
@@ -419,6 +427,11 @@
 	pump(reader);
 }
 
+void reader_set_nodes(struct reader *reader, uint32_t nodes)
+{
+	reader_core_set_nodes(&reader->core, nodes);
+}
+
 void reader_set_source(struct reader *reader, int64_t at_us)
 {
 	reader_core_set_source(&reader->core, at_us);
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -113,6 +113,9 @@
  */
 void reader_set_rank(struct reader *reader, uint32_t rank);
 
+/** reader_set_nodes() - see reader_core_set_nodes(). */
+void reader_set_nodes(struct reader *reader, uint32_t nodes);
+
 /** reader_set_source() - see reader_core_set_source(). */
 void reader_set_source(struct reader *reader, int64_t at_us);
 
--- a/src/profile/reader_core.c
+++ b/src/profile/reader_core.c
@@ -16,6 +16,7 @@
 {
 	memset(core, 0, sizeof(*core));
 	core->election = election;
+	reader_core_set_nodes(core, 1);
 	lease_init(&core->lease, options, seed);
 	random_init(&core->random, seed + 1);
 	backoff_init(&core->head_backoff, HEAD_BACKOFF_BASE_MS,
@@ -43,7 +44,7 @@
 	if (steps > READER_STEPS_MAX)
 		steps = READER_STEPS_MAX;
 	return core->source_us +
-	       (READER_STALE_MS + steps * READER_STEP_MS) * US_PER_MS;
+	       (core->stale_ms + steps * READER_STEP_MS) * US_PER_MS;
 }
 
 static bool is_elected(const struct reader_core *core, int64_t now_us)
@@ -63,6 +64,13 @@
 	return lease_holds(&core->lease, now_us);
 }
 
+void reader_core_set_nodes(struct reader_core *core, uint32_t nodes)
+{
+	core->stale_ms = READER_STALE_MS;
+	for (; nodes > 1; nodes = (nodes + 1) / 2)
+		core->stale_ms += READER_STALE_ROUND_MS;
+}
+
 void reader_core_set_source(struct reader_core *core, int64_t at_us)
 {
 	if (at_us > core->source_us)
@@ -84,8 +92,19 @@
 			 struct reader_order *order)
 {
 	order->at_us = INT64_MAX;
-	if (core->head_out)
+	/* Each watcher is sent every version whole; on a thin link that holds
+	 * up calls for half a second, so whoever need not watch does not. */
+	if (core->head_out && !is_elected(core, now_us)) {
+		core->head_out = false;
+		core->answered = false;
+		order->action = READER_STOP_WATCH;
 		return;
+	}
+	if (core->head_out) {
+		if (core->rank >= READER_RANKS)
+			order->at_us = core->stay_until_us;
+		return;
+	}
 	if (!is_elected(core, now_us)) {
 		order->at_us = step_in_us(core);
 		return;
--- a/src/profile/reader_core.h
+++ b/src/profile/reader_core.h
@@ -25,14 +25,19 @@
 enum {
 	READER_CANDIDATES = 4,
 	READER_WATCH_MS = 5000,
+	/* By rank: the kernel ends a watch whose connection is dead. */
+	READER_LONG_WATCH_MS = 20000,
 	READER_PACE_MS = 1000,
 	READER_MEMBERS_MS = 30000,
 	/* By rank: nodes that watch. */
 	READER_RANKS = 1,
-	/* By rank: the service counts as unread after so long, and each rank
-	 * waits a step longer. Together with a read they must stay below the
-	 * time in which versions are to be in force, 2 s at the least. */
-	READER_STALE_MS = 900,
+	/* By rank: the service counts as unread after so long, the longer the
+	 * more nodes word of it passes through: it takes a round of gossip for
+	 * each doubling. Each rank waits a step more. Together with a read this
+	 * must stay below the time in which versions are to be in force, 2 s
+	 * at the least. */
+	READER_STALE_MS = 660,
+	READER_STALE_ROUND_MS = 120,
 	READER_STEP_MS = 60,
 	READER_STEPS_MAX = 8,
 	/* By rank: who has stepped in stays for so long. */
@@ -50,6 +55,7 @@
 	READER_LEASE,	    /* what is in @lease */
 	READER_WATCH_HEAD,  /* newer than @revision; to reader_core_head() */
 	READER_GET_MEMBERS, /* to reader_core_members() */
+	READER_STOP_WATCH,  /* drop the watch of the head that is in flight */
 };
 
 /**
@@ -74,6 +80,8 @@
 /**
  * struct reader_core - one candidate's decisions
  * @rank: READER_BY_RANK: among the live members
+ * @stale_ms: READER_BY_RANK: without word of the service for so long it counts
+ *	as unread
  * @source_us: READER_BY_RANK: when the service was last read by any node of
  *	the data centre
  * @stay_until_us: READER_BY_RANK: has stepped in until then
@@ -87,6 +95,7 @@
 struct reader_core {
 	enum reader_election election;
 	uint32_t rank;
+	int64_t stale_ms;
 	int64_t source_us;
 	int64_t stay_until_us;
 	int64_t contact_us;
@@ -108,6 +117,9 @@
 void reader_core_set_rank(struct reader_core *core, uint32_t rank,
 			  int64_t now_us);
 
+/** reader_core_set_nodes() - live members of the data centre, this one too. */
+void reader_core_set_nodes(struct reader_core *core, uint32_t nodes);
+
 /**
  * reader_core_set_source() - some node of the data centre has read the service
  * @at_us: when; what is older than known is ignored
--- a/src/profile/reader_rank_test.c
+++ b/src/profile/reader_rank_test.c
@@ -13,6 +13,8 @@
 
 	lease_options_default(&lease);
 	reader_core_init(&core, READER_BY_RANK, &lease, 1);
+	reader_core_set_nodes(&core, 3);
+	reader_core_set_source(&core, 1);
 	reader_core_set_rank(&core, rank, 0);
 }
 
@@ -72,6 +74,24 @@
 	}
 }
 
+/* Word of the service needs longer through more nodes. */
+Test(reader_rank, patience_grows_with_the_data_centre)
+{
+	static const struct {
+		uint32_t nodes;
+		int64_t stale_ms;
+	} cases[] = { { 0, 660 },  { 1, 660 },	 { 2, 780 },   { 3, 900 },
+		      { 4, 900 },  { 25, 1260 }, { 736, 1860 } };
+	size_t i;
+
+	begin(1);
+	for (i = 0; i < COUNT(cases); i++) {
+		reader_core_set_nodes(&core, cases[i].nodes);
+		cr_expect_eq(core.stale_ms, cases[i].stale_ms, "%u: %lld",
+			     cases[i].nodes, (long long)core.stale_ms);
+	}
+}
+
 /* Who has stepped in stays for a while: one that stops after each look would
  * leave the source unread again and again. */
 Test(reader_rank, who_steps_in_stays_and_goes)
@@ -131,3 +151,23 @@
 	answer(STORE_COMPACTED, 0, now_us);
 	cr_expect_eq(next_at(now_us), READER_NOTHING);
 }
+
+/*
+ * Symptom: calls of all nodes are held up for half a second with each version.
+ * Sequence: all nodes start at once, each alone and so the first in rank; all
+ * begin to watch, and go on once they know better; a version comes.
+ * Cause: a watch that nobody needs any more; every watcher is sent the whole.
+ */
+Test(reader_rank, a_watch_that_is_not_needed_any_more_ends)
+{
+	int64_t now_us = 10 * 1000 * US_PER_MS;
+
+	begin(0);
+	cr_assert_eq(next_at(now_us), READER_WATCH_HEAD);
+	reader_core_set_source(&core, now_us);
+	cr_expect_eq(next_at(now_us), READER_NOTHING);
+	reader_core_set_rank(&core, 4, now_us);
+	cr_expect_eq(next_at(now_us), READER_STOP_WATCH);
+	cr_expect_eq(next_at(now_us), READER_NOTHING);
+	cr_expect_eq(reader_core_contact_us(&core, now_us), 0);
+}
--- a/src/route/hosts.c
+++ b/src/route/hosts.c
@@ -3,113 +3,122 @@
 #include <ctype.h>
 #include <stdlib.h>
 #include <string.h>
+#include <xxhash.h>
 
 /* The golden section: of all steps around a circle the one that fills every
  * arc most evenly, however few or many steps were taken. */
 #define TURN_STEP 0.61803398874989485
 
-static void fold_host(const char *host, char name[HOST_SIZE])
+static size_t fold_host(const char *host, char name[HOST_SIZE])
 {
 	size_t i;
 
 	memset(name, 0, HOST_SIZE);
 	for (i = 0; i + 1 < HOST_SIZE && host[i] && host[i] != ':'; i++)
 		name[i] = (char)tolower((unsigned char)host[i]);
+	return i;
 }
 
-static struct host *host_get(struct host_table *table, const char *name)
+static uint64_t key_of(uint64_t host_hash, const char *prefix, size_t size)
 {
-	struct host *host;
+	return XXH3_64bits_withSeed(prefix, size, host_hash);
+}
 
-	HASH_FIND_STR(table->hosts, name, host);
-	if (host)
-		return host;
-	host = calloc(1, sizeof(*host));
-	if (!host)
-		abort();
-	memcpy(host->name, name, strlen(name) + 1);
-	HASH_ADD_STR(table->hosts, name, host);
-	return host;
+static uint64_t hash_host(const char *host)
+{
+	char name[HOST_SIZE];
+	size_t size = fold_host(host, name);
+
+	return XXH3_64bits(name, size);
 }
 
-static void host_add(struct host *host, const struct profile *profile,
-		     const struct host_route *route, double turn)
+static void add_route(struct host_table *table, struct host_slot *slot,
+		      const struct profile *profile,
+		      const struct host_route *route, struct random *random)
 {
-	const struct host_slot slot = { profile, route, turn };
-	size_t length = strlen(route->prefix);
-	uint32_t place;
-
-	if (host->count == host->capacity) {
-		host->capacity = host->capacity ? host->capacity * 2 : 4;
-		host->slots = realloc(host->slots,
-				      host->capacity * sizeof(*host->slots));
-		if (!host->slots)
-			abort();
-	}
-	for (place = host->count;
-	     place && strlen(host->slots[place - 1].route->prefix) < length;
-	     place--)
-		host->slots[place] = host->slots[place - 1];
-	host->slots[place] = slot;
-	host->count++;
+	struct host_slot *other;
+
+	slot->key = key_of(hash_host(route->host), route->prefix,
+			   strlen(route->prefix));
+	slot->profile = profile;
+	slot->route = route;
+	/* Nodes begin at different places, or all of them would send their
+	 * first requests to the same part. */
+	slot->turn = random_share(random);
+	/* Of two routes for the same host and prefix the first one holds. */
+	HASH_FIND(hh, table->slots, &slot->key, sizeof(slot->key), other);
+	if (!other)
+		HASH_ADD(hh, table->slots, key, sizeof(slot->key), slot);
 }
 
-static void add_profile(struct host_table *table, const struct profile *profile,
-			struct random *random)
+static uint32_t count_routes(const struct config *config)
 {
+	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < profile->host_route_count; i++) {
-		const struct host_route *route = &profile->host_routes[i];
-		char name[HOST_SIZE];
-
-		fold_host(route->host, name);
-		/* Nodes begin at different places, or all of them would send
-		 * their first requests to the same part. */
-		host_add(host_get(table, name), profile, route,
-			 random_share(random));
-	}
+	for (i = 0; i < config->profile_count; i++)
+		count += config->profiles[i].profile->host_route_count;
+	return count;
 }
 
 void hosts_build(struct host_table *table, const struct config *config,
 		 struct random *random)
 {
+	struct host_slot *slot;
 	uint32_t i;
+	uint32_t j;
 
 	hosts_finish(table);
-	for (i = 0; i < config->profile_count; i++)
-		add_profile(table, config->profiles[i].profile, random);
+	table->memory = calloc(count_routes(config) + 1, sizeof(*slot));
+	if (!table->memory)
+		abort();
+	slot = table->memory;
+	for (i = 0; i < config->profile_count; i++) {
+		const struct profile *profile = config->profiles[i].profile;
+
+		for (j = 0; j < profile->host_route_count; j++)
+			add_route(table, slot++, profile,
+				  &profile->host_routes[j], random);
+	}
 }
 
 void hosts_finish(struct host_table *table)
 {
-	struct host *host = table->hosts;
+	HASH_CLEAR(hh, table->slots);
+	free(table->memory);
+	table->memory = NULL;
+}
 
-	HASH_CLEAR(hh, table->hosts);
-	while (host) {
-		struct host *next = host->hh.next;
+static bool is_route(const struct host_slot *slot, const char *host,
+		     const char *path, size_t size)
+{
+	char names[2][HOST_SIZE];
 
-		free(host->slots);
-		free(host);
-		host = next;
-	}
-	table->hosts = NULL;
+	fold_host(slot->route->host, names[0]);
+	fold_host(host, names[1]);
+	return !strcmp(names[0], names[1]) &&
+	       strlen(slot->route->prefix) == size &&
+	       !strncmp(slot->route->prefix, path, size);
 }
 
+/* Prefixes end with a slash, so only those of the path's own can fit: one look
+ * for each, the longest first, however many routes a host has. */
 struct host_slot *hosts_find(const struct host_table *table, const char *host,
 			     const char *path)
 {
-	char name[HOST_SIZE];
-	struct host *found;
-	uint32_t i;
+	uint64_t host_hash = hash_host(host);
+	size_t size = strlen(path);
 
-	fold_host(host, name);
-	HASH_FIND_STR(table->hosts, name, found);
-	for (i = 0; found && i < found->count; i++) {
-		const char *prefix = found->slots[i].route->prefix;
+	for (; size; size--) {
+		struct host_slot *slot;
+		uint64_t key;
 
-		if (!strncmp(path, prefix, strlen(prefix)))
-			return &found->slots[i];
+		if (path[size - 1] != '/')
+			continue;
+		key = key_of(host_hash, path, size);
+		HASH_FIND(hh, table->slots, &key, sizeof(key), slot);
+		if (slot && is_route(slot, host, path, size))
+			return slot;
 	}
 	return NULL;
 }
--- a/src/route/hosts.h
+++ b/src/route/hosts.h
@@ -17,26 +17,22 @@
 
 /**
  * struct host_slot - one route
+ * @key: hash of its host, in lower case, and its prefix
  * @profile: that holds it
  * @turn: where the sequence stands, from 0 to 1
  */
 struct host_slot {
+	uint64_t key;
 	const struct profile *profile;
 	const struct host_route *route;
 	double turn;
-};
-
-/** struct host - the routes of one host, the longest prefix first. */
-struct host {
-	char name[HOST_SIZE];
-	struct host_slot *slots;
-	uint32_t count;
-	uint32_t capacity;
 	UT_hash_handle hh;
 };
 
+/** struct host_table - all routes of a version, by @key. */
 struct host_table {
-	struct host *hosts;
+	struct host_slot *slots;
+	struct host_slot *memory;
 };
 
 /** hosts_build() - replace the table by that of @config. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -275,6 +275,10 @@
 	store->tries[call->request.kind]++;
 	counter_add(&tries_count, 1);
 	call->sent_us = now_us;
+	log_debug("platform", "call",
+		  LOG_TEXT("kind", kind_names[call->request.kind]),
+		  LOG_TEXT("key", call->key),
+		  LOG_NUMBER("revision", (int64_t)call->request.revision));
 	switch (store->options.transport) {
 	case STORE_HTTP:
 		send_http(call, left_ms < try_ms ? left_ms : try_ms);
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -123,6 +123,11 @@
 	return conn ? conn : wire_hub_reconnect(hub, to);
 }
 
+bool wire_hub_connected(struct wire_hub *hub, const struct address *to)
+{
+	return find_preferred(hub, to) != NULL;
+}
+
 static struct wire_conn *find_id(struct wire_hub *hub, uint64_t id)
 {
 	struct wire_conn *conn;
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -154,6 +154,9 @@
 struct wire_conn *wire_hub_connect(struct wire_hub *hub,
 				   const struct address *to);
 
+/** wire_hub_connected() - whether a connection to a peer is there or begun. */
+bool wire_hub_connected(struct wire_hub *hub, const struct address *to);
+
 /**
  * wire_hub_reconnect() - dial a new connection beside the present one
  *
