--- a/src/profile/schedule_world_test.c
+++ b/src/profile/schedule_world_test.c
@@ -399,6 +399,7 @@
 		reader_core_next(&node->core, world.now_us, &order);
 		switch (order.action) {
 		case READER_NOTHING:
+		case READER_STOP_WATCH: /* by rank only */
 			read_bodies(index);
 			return;
 		case READER_LEASE:
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -275,7 +275,7 @@
 	store->tries[call->request.kind]++;
 	counter_add(&tries_count, 1);
 	call->sent_us = now_us;
-	log_debug("platform", "call",
+	log_debug("platform", "store_call",
 		  LOG_TEXT("kind", kind_names[call->request.kind]),
 		  LOG_TEXT("key", call->key),
 		  LOG_NUMBER("revision", (int64_t)call->request.revision));
--- a/test/functional/docs_test.c
+++ b/test/functional/docs_test.c
@@ -125,6 +125,7 @@
 	scan(text, path, "log_info", 1, "event", "`");
 	scan(text, path, "log_warn", 1, "event", "`");
 	scan(text, path, "log_error", 1, "event", "`");
+	scan(text, path, "log_request", 2, "event", "`");
 }
 
 Test(docs, every_log_event_is_told, .init = setup)
