--- /dev/null
+++ b/scripts/check-names.sh
@@ -0,0 +1,30 @@
+#!/bin/sh
+# Check that the target platform's names stay in platform/: header fields,
+# paths, keys and fields of its documents. Tests and deploy/ may hold them.
+names='X-Request-Id|X-Deadline-Ms|X-Response-Stamp|X-Target-Instance'
+names="$names|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Instance-Id"
+names="$names|/-/|Instances\\.|weighted_clusters|target_latency_s"
+names="$names|max_attempts|op/config|cold_left_s|heartbeat_addr"
+names="$names|has_more|as_of|stale_ok|ttl_s_time"
+status=0
+for file in $(find src include -name '*.c' -o -name '*.h' -o -name '*.cc' |
+	grep -v '_test\.[ch]$')
+do
+	if grep -nE "$names" "$file" /dev/null
+	then
+		status=1
+	fi
+done
+# Only these speak with that folder; all else has the project's own types.
+for file in $(grep -rlE '"platform/' src)
+do
+	case $file in
+	src/call/announce.c | src/call/names.c | src/node/ready.c | \
+		src/profile/reader.c | src/store/store.c) ;;
+	*)
+		echo "$file: may not include platform/"
+		status=1
+		;;
+	esac
+done
+exit $status
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -4,6 +4,7 @@
 set -e
 build=$1
 scripts/check-deps.sh
+scripts/check-names.sh
 # A stamp per file keeps repeated runs short; the stamp holds a hash of the
 # file and of all headers, so a change to any header checks all again.
 stamps=$build/lint
--- a/src/profile/profile.h
+++ b/src/profile/profile.h
@@ -27,7 +27,7 @@
 	HOST_SIZE = 128,
 	HOST_ROUTE_NAME_SIZE = 64,
 	HOST_ROUTE_PARTS_MAX = 16,
-	HEALTH_PATH_SIZE = 128,
+	HEALTH_CHECK_SIZE = 128,
 	PROFILE_KINDS_MAX = 256,
 	PROFILE_ROUTES_MAX = 256,
 	PROFILE_HOST_ROUTES_MAX = 1024,
@@ -116,12 +116,12 @@
 /**
  * struct upstream_limits - what the upstreams of a service bear
  * @connections_max: of all callers together
- * @health_path: answers GET with 200 while the upstream takes work
+ * @health_check: answers GET with 200 while the upstream takes work
  */
 struct upstream_limits {
 	char service[SERVICE_NAME_SIZE];
 	int64_t connections_max;
-	char health_path[HEALTH_PATH_SIZE];
+	char health_check[HEALTH_CHECK_SIZE];
 };
 
 /**
