gate: refusals that do not depend on concurrency do not cut the limit

Ruled out: a lack of slots (limits of the calling service stayed at nine), retries (answered by the gate, free).

Change: two refusals of a request that ran alone take the row of cuts back and are trusted for ten seconds.

--- a/src/gate/limit.c
+++ b/src/gate/limit.c
@@ -27,6 +27,9 @@
 	SETTLE_ROUNDS = 4,
 	TRUST_US = 10 * 1000 * 1000,
 	HOLD_US = 10 * 1000 * 1000,
+	/* Turned away while it ran alone: once may be another cause's chance,
+	 * twice within the time for which a finding is trusted is not. */
+	ALONE_SIGNS = 2,
 	RAMP_STEP_US = 1000,
 };
 
@@ -48,6 +51,7 @@
 	limit->slots = slots;
 	limit->ceiling *= factor;
 	limit->current *= factor;
+	limit->turned_away.current_before *= factor;
 	if (limit->current < 1)
 		limit->current = 1;
 }
@@ -62,6 +66,7 @@
 	limit->trust_until_us = since_us;
 	limit->hold_until_us = since_us;
 	limit->trial.phase = TRIAL_NONE;
+	memset(&limit->turned_away, 0, sizeof(limit->turned_away));
 }
 
 static bool is_cold(const struct limit *limit, int64_t now_us)
@@ -229,12 +234,51 @@
 	grow(limit, sample);
 }
 
+/*
+ * An upstream that turns away one that runs alone does so for another reason
+ * than concurrency. Without this its limit would go down to one and stay there
+ * although fewer at once gain nothing, and its node would refuse nearly all
+ * work that free slots could take. Returns whether the sign is used up.
+ */
+static bool doubt_shed(struct limit *limit, const struct limit_sample *sample)
+{
+	struct limit_turned_away *signs = &limit->turned_away;
+
+	if (sample->now_us < signs->ignore_until_us)
+		return true;
+	if (sample->running > 1)
+		return false;
+	if (sample->now_us - signs->alone_at_us > TRUST_US)
+		signs->alone_count = 0;
+	signs->alone_at_us = sample->now_us;
+	if (++signs->alone_count < ALONE_SIGNS)
+		return false;
+	signs->alone_count = 0;
+	signs->ignore_until_us = sample->now_us + TRUST_US;
+	if (limit->current < signs->current_before)
+		limit->current = signs->current_before;
+	limit->ceiling = limit->slots + 1;
+	return true;
+}
+
+/* Remember the limit before the first of a row of cuts. */
+static void note_before_shed(struct limit *limit, int64_t now_us)
+{
+	struct limit_turned_away *signs = &limit->turned_away;
+
+	if (!signs->cut_at_us || now_us - signs->cut_at_us > TRUST_US ||
+	    limit->current > signs->current_before)
+		signs->current_before = limit->current;
+	signs->cut_at_us = now_us;
+}
+
 void limit_shed(struct limit *limit, const struct limit_sample *sample)
 {
 	double held = sample->running;
 
-	if (!is_news(limit, sample))
+	if (!is_news(limit, sample) || doubt_shed(limit, sample))
 		return;
+	note_before_shed(limit, sample->now_us);
 	if (held > limit->current)
 		held = limit->current;
 	limit->ceiling = held;
--- a/src/gate/limit.h
+++ b/src/gate/limit.h
@@ -12,7 +12,8 @@
  * surest sign and may bring the limit down to one. Long service times are a
  * weak one: an upstream may be slow and healthy. So a cut made for them is a
  * trial: if the times did not fall with the concurrency, so that less gets
- * done, it is taken back.
+ * done, it is taken back. So is a cut for what the upstream turned away, once
+ * it turns away requests that run alone.
  * Decision core.
  */
 
@@ -43,6 +44,23 @@
 	double current_before;
 };
 
+/**
+ * struct limit_turned_away - what the upstream's own refusals have shown
+ * @current_before: limit before the first of the latest row of cuts
+ * @cut_at_us: the latest of them; 0: none
+ * @alone_count: refusals of a request that ran alone
+ * @alone_at_us: the latest of them
+ * @ignore_until_us: its refusals do not depend on concurrency: they say
+ *	nothing before
+ */
+struct limit_turned_away {
+	double current_before;
+	int64_t cut_at_us;
+	uint32_t alone_count;
+	int64_t alone_at_us;
+	int64_t ignore_until_us;
+};
+
 /**
  * struct limit - a learned bound on concurrency
  * @current: the bound, between one and @slots
@@ -65,6 +83,7 @@
 	int64_t trust_until_us;
 	int64_t hold_until_us;
 	struct limit_trial trial;
+	struct limit_turned_away turned_away;
 };
 
 /**
--- a/src/gate/overload_test.c
+++ b/src/gate/overload_test.c
@@ -254,6 +254,42 @@
 	}
 }
 
+/*
+ * Symptom: an upstream with free slots refuses nearly all of its work, and
+ * goes on doing so for many seconds after it has become well.
+ * Sequence: for a while it turns away a share of its requests, however few of
+ * them run; then it turns away none.
+ * Cause: each of these signs cuts the limit, down to one; what the upstream
+ * turns away does not get less by that, and the limit grows back slowly.
+ */
+Test(gate_overload, turned_away_at_random_keeps_the_limit)
+{
+	static const struct sim_source calm[] = {
+		{ "today", "pub-a", 10, 100, 25 * MS, 200 * MS },
+	};
+	static const double shares[] = { 0.1, 0.4, 0.8 };
+	struct sim_result result;
+	size_t i;
+
+	for (i = 0; i < COUNT(shares); i++) {
+		struct sim_setup setup = {
+			.options = gate_of_nine,
+			.upstream = { .capacity = 9, .grey_share = shares[i] },
+			.sources = calm,
+			.source_count = COUNT(calm),
+			.length_us = 30 * S,
+			.seed = i
+		};
+
+		sim_run(&setup, &result);
+		printf("turned away %.1f: refused %u, shed %u of %u\n",
+		       shares[i], result.refused[0], result.shed,
+		       result.offered[0]);
+		cr_expect_leq(result.refused[0], 0.06 * result.offered[0],
+			      "share %.1f", shares[i]);
+	}
+}
+
 /*
  * Symptom: a planned stop cuts requests, or the upstream never gets empty.
  * Sequence: it begins to leave while it is overloaded, slow, cold, sheds, or
--- a/src/gate/simulation.h
+++ b/src/gate/simulation.h
@@ -32,12 +32,14 @@
  * @sheds: turns away what is above its capacity; otherwise all slow down
  * @thrashes: slows down by the square, so that less gets done
  * @slow_factor: service times are longer by this in the middle third
+ * @grey_share: turned away in the middle third, however few run
  */
 struct sim_upstream {
 	uint32_t capacity;
 	bool sheds;
 	bool thrashes;
 	double slow_factor;
+	double grey_share;
 };
 
 enum { SIM_SOURCES_MAX = 16 };
--- a/src/gate/simulation_test.c
+++ b/src/gate/simulation_test.c
@@ -43,12 +43,24 @@
 	sim->next_us[source] += 1 + (int64_t)exponential(&sim->random, gap_us);
 }
 
-static double slowness(const struct sim *sim)
+static bool is_middle(const struct sim *sim)
 {
 	int64_t third = sim->setup->length_us / 3;
-	bool middle = sim->now_us >= third && sim->now_us < 2 * third;
 
-	return middle && sim->setup->upstream.slow_factor > 0
+	return sim->now_us >= third && sim->now_us < 2 * third;
+}
+
+static bool is_grey(struct sim *sim)
+{
+	double share = sim->setup->upstream.grey_share;
+
+	return share > 0 && is_middle(sim) &&
+	       random_share(&sim->random) < share;
+}
+
+static double slowness(const struct sim *sim)
+{
+	return is_middle(sim) && sim->setup->upstream.slow_factor > 0
 		       ? sim->setup->upstream.slow_factor
 		       : 1;
 }
@@ -69,7 +81,8 @@
 		crowd = 1;
 	if (sim->setup->upstream.thrashes)
 		crowd *= crowd;
-	call->sheds = crowd > 1 && sim->setup->upstream.sheds;
+	call->sheds = (crowd > 1 && sim->setup->upstream.sheds) ||
+		      is_grey(sim);
 	call->end_us = sim->now_us + (int64_t)(call->work_us * slowness(sim) *
 					       (crowd > 1 ? crowd : 1));
 	if (call->sheds)
