gate, call: broken answers at random do not cut the limit; an upstream that is gone is told to all

With two such signs at as few as a cut leaves, the cuts are taken back.

Cause 2: announce_lost() and announce_correct() existed and nobody called them; an upstream that was killed stayed listed until its announcement expired. Two refused connections in a row end the announcement, as does an answer of another start: that id says nothing of its service, so it is listed once it announces itself.

--- a/src/call/announce.c
+++ b/src/call/announce.c
@@ -304,8 +304,7 @@
 		return;
 	log_warn(slice, "upstream_corrected", LOG_TEXT("start", id),
 		 LOG_TEXT("announced", announce->current.id));
-	snprintf(announce->current.id, sizeof(announce->current.id), "%s", id);
-	announce->options.changed(&announce->current, announce->options.data);
+	forget(announce);
 }
 
 void announce_handle(struct http_exchange *exchange, void *data)
--- a/src/call/announce.h
+++ b/src/call/announce.h
@@ -91,7 +91,12 @@
  */
 void announce_lost(struct announce *announce);
 
-/** announce_correct() - the upstream has told the id of its present start. */
+/**
+ * announce_correct() - the upstream has told the id of its present start
+ *
+ * That id says nothing of its service, which may be another one: it is not
+ * listed until it announces itself.
+ */
 void announce_correct(struct announce *announce, const char *id);
 
 /** announce_handle() - an http_handler_fn; @data is a struct announce. */
--- a/src/call/call_test.c
+++ b/src/call/call_test.c
@@ -171,6 +171,41 @@
 	path_teardown();
 }
 
+static void note_unreachable(void *data)
+{
+	uint32_t *count = data;
+
+	(*count)++;
+}
+
+/*
+ * Symptom: one request in a few fails on its first attempt for as long as the
+ * announcement of an upstream that was killed holds.
+ * Sequence: an upstream dies without a word; its node goes on listing it.
+ * Cause: refused connections told nothing beyond their own attempt.
+ */
+Test(call, refused_connections_tell_that_the_upstream_is_gone)
+{
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal" };
+	uint32_t lost = 0;
+	uint32_t i;
+
+	path_setup();
+	path.b.calls.server.options.signs.unreachable = note_unreachable;
+	path.b.calls.server.options.signs.data = &lost;
+	send_and_wait("POST", "/seal");
+	path_stop_listening();
+	path.upstream.first = BEHAVE_CLOSE;
+	for (i = 0; i <= SERVE_REFUSED_MAX; i++) {
+		struct path_result *result = path_send(&request);
+
+		path_until(&result->answers, 1, "refused");
+	}
+	cr_expect_eq(lost, 1, "%u", lost);
+	path_teardown();
+}
+
 Test(call, an_upstream_that_cannot_be_reached_has_run_nothing)
 {
 	static const struct path_request requests[] = {
--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -27,6 +27,7 @@
  * @callers: the callers' HTTP server, whose answers a drain waits for and
  *	whose connections it ends with them; may be NULL
  * @warm_connections: see warm_init()
+ * @signs: see struct serve_options
  * @drained: called once after calls_drain(), when nothing is left
  */
 struct calls_options {
@@ -49,6 +50,7 @@
 	uint32_t outcome_max;
 	size_t outcome_max_bytes;
 	uint32_t warm_connections;
+	struct serve_signs signs;
 	void (*drained)(void *data);
 	void *data;
 };
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -19,6 +19,21 @@
  * runs twice and a caller's node that lost its connection can ask.
  */
 
+/* Connections refused in a row after which the upstream counts as lost: one may
+ * be a full queue of connections. */
+enum { SERVE_REFUSED_MAX = 2 };
+
+/**
+ * struct serve_signs - what attempts tell about the upstream beside
+ * @unreachable: its address refuses connections
+ * @another: another start than the announced one answers there; @id is its
+ */
+struct serve_signs {
+	void (*unreachable)(void *data);
+	void (*another)(const char *id, void *data);
+	void *data;
+};
+
 /**
  * struct serve_options - what a server works with; all of it outlives it
  * @names: of the fields towards the upstream
@@ -31,6 +46,7 @@
  * @silence_us: without an answer to a ping a connection counts as silent
  * @orphan_us: how long a call whose connection was lost waits for its node
  *	to come back and ask
+ * @signs: may be empty
  */
 struct serve_options {
 	struct loop *loop;
@@ -46,6 +62,7 @@
 	int64_t ping_us;
 	int64_t silence_us;
 	int64_t orphan_us;
+	struct serve_signs signs;
 };
 
 struct serving;
@@ -74,6 +91,7 @@
 	struct link_pipe to_caller; /* answers to this node's own calls */
 	struct serving *servings;
 	uint32_t serving_count;
+	uint32_t refused_count; /* connections to it, in a row */
 	size_t held_bytes;
 	struct encoder encoder;
 	struct deferred pump;
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -181,6 +181,29 @@
 	serving_end(serving, &outcome, NULL, 0);
 }
 
+/*
+ * An upstream that was killed says nothing, and the address of one may be given
+ * to another. Every caller's node would learn that by a failed attempt of its
+ * own until the announcement expires; the first attempts here tell all.
+ */
+static void note_signs(struct server *server, const struct http_answer *answer)
+{
+	const struct call_names *names = server->options.names;
+	const struct serve_signs *signs = &server->options.signs;
+	const char *id = names->stamp ? http_answer_header(answer, names->stamp)
+				      : NULL;
+
+	if (answer->delivery != HTTP_NOT_SENT || answer->timed_out)
+		server->refused_count = 0;
+	else if (++server->refused_count == SERVE_REFUSED_MAX &&
+		 signs->unreachable)
+		signs->unreachable(signs->data);
+	if (answer->delivery == HTTP_ANSWERED && names->wrong_target_status &&
+	    answer->status == names->wrong_target_status && id &&
+	    strcmp(id, server->upstream_id) && signs->another)
+		signs->another(id, signs->data);
+}
+
 static void upstream_done(const struct http_answer *answer, void *data)
 {
 	struct serving *serving = data;
@@ -202,6 +225,7 @@
 				     !strcmp(serving->method, "HEAD"), took_us,
 				     &kept_bytes);
 	serving_end(serving, &judgement.outcome, kept, kept_bytes);
+	note_signs(server, answer);
 	serving_run_gate(server);
 }
 
--- a/src/gate/limit.c
+++ b/src/gate/limit.c
@@ -235,18 +235,20 @@
 }
 
 /*
- * An upstream that turns away one that runs alone does so for another reason
- * than concurrency. Without this its limit would go down to one and stay there
- * although fewer at once gain nothing, and its node would refuse nearly all
- * work that free slots could take. Returns whether the sign is used up.
+ * An upstream that turns away one that runs alone, or breaks answers off with
+ * as few as a cut for those would leave, does so for another reason than
+ * concurrency. Without this its limit would go down and stay there although
+ * fewer at once gain nothing, and its node would refuse work that free slots
+ * could take. Returns whether the sign is used up.
  */
-static bool doubt_shed(struct limit *limit, const struct limit_sample *sample)
+static bool is_doubtful(struct limit *limit, const struct limit_sample *sample,
+			double least)
 {
 	struct limit_turned_away *signs = &limit->turned_away;
 
 	if (sample->now_us < signs->ignore_until_us)
 		return true;
-	if (sample->running > 1)
+	if (sample->running > 1 && sample->running > least)
 		return false;
 	if (sample->now_us - signs->alone_at_us > TRUST_US)
 		signs->alone_count = 0;
@@ -262,7 +264,7 @@
 }
 
 /* Remember the limit before the first of a row of cuts. */
-static void note_before_shed(struct limit *limit, int64_t now_us)
+static void note_before_cut(struct limit *limit, int64_t now_us)
 {
 	struct limit_turned_away *signs = &limit->turned_away;
 
@@ -276,9 +278,9 @@
 {
 	double held = sample->running;
 
-	if (!is_news(limit, sample) || doubt_shed(limit, sample))
+	if (!is_news(limit, sample) || is_doubtful(limit, sample, 1))
 		return;
-	note_before_shed(limit, sample->now_us);
+	note_before_cut(limit, sample->now_us);
 	if (held > limit->current)
 		held = limit->current;
 	limit->ceiling = held;
@@ -297,8 +299,10 @@
 
 void limit_failed(struct limit *limit, const struct limit_sample *sample)
 {
-	if (!is_news(limit, sample))
+	double least = limit->slots * FLOOR_FAILED;
+
+	if (!is_news(limit, sample) || is_doubtful(limit, sample, least))
 		return;
-	cut(limit, limit->current * CUT_FAILED, limit->slots * FLOOR_FAILED,
-	    sample->now_us);
+	note_before_cut(limit, sample->now_us);
+	cut(limit, limit->current * CUT_FAILED, least, sample->now_us);
 }
--- a/src/gate/limit.h
+++ b/src/gate/limit.h
@@ -13,7 +13,7 @@
  * weak one: an upstream may be slow and healthy. So a cut made for them is a
  * trial: if the times did not fall with the concurrency, so that less gets
  * done, it is taken back. So is a cut for what the upstream turned away, once
- * it turns away requests that run alone.
+ * it turns away requests that run alone, and so on for answers broken off.
  * Decision core.
  */
 
@@ -45,12 +45,12 @@
 };
 
 /**
- * struct limit_turned_away - what the upstream's own refusals have shown
+ * struct limit_turned_away - what refusals and broken answers have shown
  * @current_before: limit before the first of the latest row of cuts
  * @cut_at_us: the latest of them; 0: none
- * @alone_count: refusals of a request that ran alone
+ * @alone_count: those with as few at once as no cut would make fewer
  * @alone_at_us: the latest of them
- * @ignore_until_us: its refusals do not depend on concurrency: they say
+ * @ignore_until_us: they do not depend on concurrency: they say
  *	nothing before
  */
 struct limit_turned_away {
--- a/src/gate/overload_test.c
+++ b/src/gate/overload_test.c
@@ -257,8 +257,8 @@
 /*
  * Symptom: an upstream with free slots refuses nearly all of its work, and
  * goes on doing so for many seconds after it has become well.
- * Sequence: for a while it turns away a share of its requests, however few of
- * them run; then it turns away none.
+ * Sequence: for a while it turns away a share of its requests, or breaks their
+ * answers off, however few of them run; then it is well again.
  * Cause: each of these signs cuts the limit, down to one; what the upstream
  * turns away does not get less by that, and the limit grows back slowly.
  */
@@ -267,14 +267,19 @@
 	static const struct sim_source calm[] = {
 		{ "today", "pub-a", 10, 100, 25 * MS, 200 * MS },
 	};
-	static const double shares[] = { 0.1, 0.4, 0.8 };
+	static const struct {
+		double share;
+		bool breaks;
+	} cases[] = { { 0.1, false }, { 0.4, false }, { 0.8, false },
+		      { 0.1, true },  { 0.4, true },  { 0.8, true } };
 	struct sim_result result;
 	size_t i;
 
-	for (i = 0; i < COUNT(shares); i++) {
+	for (i = 0; i < COUNT(cases); i++) {
 		struct sim_setup setup = {
 			.options = gate_of_nine,
-			.upstream = { .capacity = 9, .grey_share = shares[i] },
+			.upstream = { .capacity = 9, .grey_share = cases[i].share,
+				      .breaks = cases[i].breaks },
 			.sources = calm,
 			.source_count = COUNT(calm),
 			.length_us = 30 * S,
@@ -282,11 +287,11 @@
 		};
 
 		sim_run(&setup, &result);
-		printf("turned away %.1f: refused %u, shed %u of %u\n",
-		       shares[i], result.refused[0], result.shed,
+		printf("share %.1f, breaks %d: refused %u, shed %u of %u\n",
+		       cases[i].share, cases[i].breaks, result.refused[0], result.shed,
 		       result.offered[0]);
 		cr_expect_leq(result.refused[0], 0.06 * result.offered[0],
-			      "share %.1f", shares[i]);
+			      "share %.1f, breaks %d", cases[i].share, cases[i].breaks);
 	}
 }
 
--- a/src/gate/simulation.h
+++ b/src/gate/simulation.h
@@ -33,6 +33,7 @@
  * @thrashes: slows down by the square, so that less gets done
  * @slow_factor: service times are longer by this in the middle third
  * @grey_share: turned away in the middle third, however few run
+ * @breaks: breaks answers off then instead of turning requests away
  */
 struct sim_upstream {
 	uint32_t capacity;
@@ -40,6 +41,7 @@
 	bool thrashes;
 	double slow_factor;
 	double grey_share;
+	bool breaks;
 };
 
 enum { SIM_SOURCES_MAX = 16 };
--- a/src/gate/simulation_test.c
+++ b/src/gate/simulation_test.c
@@ -138,13 +138,21 @@
 	}
 }
 
+static enum gate_outcome outcome_of(const struct sim *sim,
+				    const struct sim_call *call)
+{
+	if (!call->sheds)
+		return GATE_OK;
+	return sim->setup->upstream.breaks ? GATE_FAILED : GATE_SHED;
+}
+
 static void end(struct sim *sim, struct sim_call *call)
 {
 	bool late = sim->now_us > call->request.deadline_us;
 
 	DL_DELETE(sim->running, call);
 	sim->result->ended_leaving += is_leaving(sim);
-	gate_done(&sim->gate, &call->request, call->sheds ? GATE_SHED : GATE_OK,
+	gate_done(&sim->gate, &call->request, outcome_of(sim, call),
 		  sim->now_us - call->request.started_us, sim->now_us);
 	if (call->sheds) {
 		sim->result->shed++;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -150,6 +150,20 @@
 			&node->gossip, &node->keeper);
 }
 
+static void upstream_unreachable(void *data)
+{
+	struct node *node = data;
+
+	announce_lost(&node->announce);
+}
+
+static void upstream_is_another(const char *id, void *data)
+{
+	struct node *node = data;
+
+	announce_correct(&node->announce, id);
+}
+
 static void drained(void *data)
 {
 	struct node *node = data;
@@ -197,6 +211,9 @@
 	options.warm_connections = (uint32_t)from->warm_connections;
 	options.outcome_max = (uint32_t)from->outcome_max;
 	options.outcome_max_bytes = (size_t)from->outcome_max_bytes;
+	options.signs.unreachable = upstream_unreachable;
+	options.signs.another = upstream_is_another;
+	options.signs.data = node;
 	options.drained = drained;
 	options.data = node;
 	calls_init(&node->calls, &options);
