node: callers' limits of the profiles in force are applied

Cause: limits were read from profiles and nobody applied them: the callers' address kept the bounds of its start, so a slow or endless caller was held for 75 s and a head above 32 KiB refused, whatever the profile said. The loosest of the profiles holds, up to what the settings allow this process to hold.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -78,6 +78,7 @@
 	server->options.head_timeout_ms = limits->head_timeout_ms;
 	server->options.idle_timeout_ms = limits->idle_timeout_ms;
 	fill_defaults(&server->options);
+	fill_defaults(&server->options);
 }
 
 void http_server_quiesce(struct http_server *server)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -100,7 +100,8 @@
 		      const struct http_server_options *options,
 		      struct error *err);
 
-/** http_server_set_limits() - for requests that begin from now on. */
+/** http_server_set_limits() - for requests that begin from now on; 0 as in
+ * struct http_server_options. */
 void http_server_set_limits(struct http_server *server,
 			    const struct http_server_limits *limits);
 
--- a/src/node/join.c
+++ b/src/node/join.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "node/bounds.h"
 #include "node/node_defs.h"
 #include "os/clock.h"
 
@@ -55,10 +56,23 @@
 				    profile->cold_start_ms * US_PER_MS);
 }
 
+static void set_bounds(struct node *node, const struct config *config)
+{
+	const struct http_server_limits most = {
+		.max_head_bytes = CALLERS_HEAD_MOST_BYTES,
+		.max_body_bytes = (size_t)node->settings->call.max_body_bytes,
+		.idle_timeout_ms = CALLERS_IDLE_MS,
+	};
+	struct http_server_limits bounds = bounds_of(config, &most);
+
+	http_server_set_limits(&node->callers, &bounds);
+}
+
 static void config_changed(struct config *config, void *data)
 {
 	struct node *node = data;
 
+	set_bounds(node, config);
 	router_set_config(&node->router, config);
 	set_cold_start(node);
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -17,7 +17,6 @@
 static const char slice[] = "node";
 
 enum {
-	CALLERS_IDLE_MS = 75000,
 	PROBES_IDLE_MS = 30000,
 	PROBES_CONNECTIONS = 64,
 	ANNOUNCE_BODY_MAX_BYTES = 16 * 1024,
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -19,6 +19,14 @@
 #include "spread/spread_net.h"
 #include "wire/hub.h"
 
+enum {
+	/* Callers keep connections for reuse for about a minute; ours must be
+	 * the later to close, or their next request meets a closed one. */
+	CALLERS_IDLE_MS = 75000,
+	/* Of one head, whatever a profile allows: it is held whole. */
+	CALLERS_HEAD_MOST_BYTES = 256 * 1024,
+};
+
 /**
  * struct node - all state of the process
  * @has_source: settings name a platform; store, reader and editor are set up
