route: what cannot be reached and has just failed is not asked

Such an upstream is now asked as often as its failures allow; the others are refused at once, unrun, and may go elsewhere.

--- a/src/route/balance.c
+++ b/src/route/balance.c
@@ -47,16 +47,27 @@
 	return false;
 }
 
+/*
+ * Membership may be wrong about one that it cannot reach, so some requests
+ * find out, as often as its failures allow. Each of the others would be held
+ * until its deadline by a connection that does not open, and its caller would
+ * learn too late that it has to go elsewhere.
+ */
+static bool may_probe(const struct pick *pick, const struct endpoint *endpoint)
+{
+	return endpoint->avoid_until_us <= pick->now_us;
+}
+
 static bool usable(const struct pick *pick, const struct endpoint *endpoint,
 		   enum level level)
 {
 	if (endpoint->record.state != UPSTREAM_SERVING)
 		return false;
-	if (level < LEVEL_UNREACHABLE && !endpoint->reachable)
-		return false;
 	if ((pick->untried_only || level < LEVEL_TRIED) &&
 	    was_tried(pick, endpoint))
 		return false;
+	if (!endpoint->reachable)
+		return level == LEVEL_UNREACHABLE && may_probe(pick, endpoint);
 	return level >= LEVEL_AVOIDED ||
 	       endpoint->avoid_until_us <= pick->now_us;
 }
