--- a/src/node/join.c
+++ b/src/node/join.c
@@ -84,7 +84,7 @@
 		return GATE_CLOSED;
 	switch (now->state) {
 	case UPSTREAM_SERVING:
-		return node->leaving ? GATE_LEAVING : GATE_OPEN;
+		return node->closing ? GATE_LEAVING : GATE_OPEN;
 	case UPSTREAM_LEAVING:
 		return GATE_LEAVING;
 	case UPSTREAM_NONE:
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -316,10 +316,25 @@
 		  loop_now_us(&node->loop) + CONTROL_COUNT_MS * US_PER_MS);
 }
 
+static void close_upstream(struct node *node)
+{
+	if (node->closing)
+		return;
+	node->closing = true;
+	node_announced(announce_current(&node->announce), node);
+	calls_leave(&node->calls);
+}
+
+static void keep_upstream_over(struct timer *timer, void *data)
+{
+	close_upstream(data);
+}
+
 static void linger_over(struct timer *timer, void *data)
 {
 	struct node *node = data;
 
+	close_upstream(node);
 	calls_drain(&node->calls, node->settings->call.drain_ms);
 }
 
@@ -341,6 +356,7 @@
 	node_join_operator(node);
 	timer_init(&node->last_words, last_words_said, node);
 	timer_init(&node->linger, linger_over, node);
+	timer_init(&node->keep_upstream, keep_upstream_over, node);
 	timer_init(&node->control_timer, count_control, node);
 	count_control(&node->control_timer, node);
 	watch_signals(node);
@@ -368,20 +384,28 @@
 }
 
 /*
- * The upstream beside gets no new work from now on. Callers that have not
- * heard yet that this node stops are served for a while, elsewhere; then the
- * process ends when calls have drained.
+ * Callers that have not heard yet that this node stops are served for a while;
+ * then the process ends when calls have drained. The upstream beside is well
+ * and is lost to the others for as long as no node stands beside it: it gets
+ * new work as long as that can still end in time. With all nodes restarted one
+ * after another, the share of the upstreams that is out of use at any time is
+ * the smaller for it.
  */
 static void begin_leaving(struct node *node)
 {
+	const struct settings_call *from = &node->settings->call;
+	int64_t now_us = loop_now_us(&node->loop);
+
 	log_info(slice, "leaving");
 	node->leaving = true;
-	node_announced(announce_current(&node->announce), node);
 	node_source_withdraw(node);
-	calls_leave(&node->calls);
+	if (from->keep_upstream_ms)
+		timer_set(&node->loop, &node->keep_upstream,
+			  now_us + from->keep_upstream_ms * US_PER_MS);
+	else
+		close_upstream(node);
 	timer_set(&node->loop, &node->linger,
-		  loop_now_us(&node->loop) +
-			  node->settings->call.linger_ms * US_PER_MS);
+		  now_us + from->linger_ms * US_PER_MS);
 }
 
 static void stop(struct node *node)
@@ -389,6 +413,7 @@
 	timer_cancel(&node->loop, &node->control_timer);
 	timer_cancel(&node->loop, &node->last_words);
 	timer_cancel(&node->loop, &node->linger);
+	timer_cancel(&node->loop, &node->keep_upstream);
 	operator_server_finish(&node->operator_server);
 	node_source_finish(node);
 	announce_finish(&node->announce);
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -37,7 +37,9 @@
  *	it is not
  * @linger: until callers are served no longer, once the process leaves
  * @stop_by_us: latest end once calls have drained
+ * @keep_upstream: until its upstream gets no new work, once it leaves
  * @leaving: the process is about to end
+ * @closing: it leaves, and its upstream gets no new work any more
  * @stopped: it may end now
  */
 struct node {
@@ -72,9 +74,11 @@
 	struct timer control_timer;
 	struct timer last_words;
 	struct timer linger;
+	struct timer keep_upstream;
 	int64_t serving_since_us;
 	int64_t stop_by_us;
 	bool leaving;
+	bool closing;
 	bool stopped;
 };
 
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -138,6 +138,7 @@
  * struct settings_call - callers' requests and peers' calls
  * @silence_ms: without a byte from a peer while calls are outstanding
  * @linger_ms: how long callers are still served once this node stops
+ * @keep_upstream_ms: how long the upstream beside still gets new work then
  * @ask_back: ask about a request over a new connection after silence
  * @outcome_max: ended requests whose answer is kept for that question
  */
@@ -150,6 +151,7 @@
 	int64_t memory_max_bytes;
 	int64_t drain_ms;
 	int64_t linger_ms;
+	int64_t keep_upstream_ms;
 	bool ask_back;
 	int64_t warm_connections;
 	int64_t outcome_max;
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -157,6 +157,9 @@
 	       "How long work in progress may take when this node stops"),
 	NUMBER(call.linger_ms, "linger_ms", 0, 600000, "0",
 	       "How long callers are still served once this node stops"),
+	NUMBER(call.keep_upstream_ms, "keep_upstream_ms", 0, 600000, "0",
+	       "How long the upstream beside still gets new work once this "
+	       "node stops; at most call.linger_ms"),
 	SWITCH(call.ask_back, "ask_back", "true",
 	       "Ask about a request over a new connection after silence"),
 	NUMBER(call.warm_connections, "warm_connections", 0, 1000, "0",
--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -279,8 +279,9 @@
 	/* Not /v1/status: asking for that sets off traffic between nodes. */
 	json_t *json =
 		get_json(cluster->nodes[i].operator_address, "/v1/dump/node");
-	int64_t value = json_integer_value(
-		json_object_get(json_object_get(json, "node"), name));
+	json_t *found = json_object_get(json_object_get(json, "node"), name);
+	int64_t value = json_is_boolean(found) ? json_is_true(found)
+					       : json_integer_value(found);
 
 	json_decref(json);
 	return value;
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -140,7 +140,8 @@
  */
 json_t *cluster_upstream_stats(const struct cluster *cluster, uint32_t i);
 
-/** cluster_node_status() - a number of node @i's own dump section. */
+/** cluster_node_status() - a number of node @i's own dump section; a switch is
+ * 0 or 1. */
 int64_t cluster_node_status(struct cluster *cluster, uint32_t i,
 			    const char *name);
 
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -14,13 +14,14 @@
 static struct cluster cluster;
 
 /* One data centre; node 0 serves alpha, node 1 beta. */
-static void start(void)
+static void start_with(const char *settings)
 {
 	const struct cluster_options options = {
 		.centres = 1,
 		.nodes = NODES,
 		.services = { "alpha", "beta" },
 		.profile = "default",
+		.settings = settings,
 	};
 
 	cr_assert(cluster_start(&cluster, &options));
@@ -33,6 +34,17 @@
 	cr_assert(call_wait_status(&cluster, 1, "beta", 200));
 }
 
+static void start(void)
+{
+	start_with(NULL);
+}
+
+/* Longer than any test: what ends these times is the end of the test. */
+static void start_lingering(void)
+{
+	start_with("[call]\nlinger_ms = 600000\nkeep_upstream_ms = 600000\n");
+}
+
 static void stop(void)
 {
 	cluster_stop(&cluster);
@@ -77,6 +89,30 @@
 	cr_assert_eq(upstream_runs(&cluster, 1, "here"), 1);
 }
 
+/*
+ * Symptom: while nodes are restarted one after another, a service refuses
+ * work although all its upstreams are well.
+ * Sequence: a node gets SIGTERM and goes on serving its callers for a while;
+ * calls come for the upstream beside it.
+ * Cause: the gate closed with the signal, long before the node ended.
+ */
+Test(drain, a_node_that_lingers_keeps_its_upstream_at_work,
+     .init = start_lingering, .fini = stop, .timeout = 120)
+{
+	int64_t until_ms = clock_monotonic_us() / US_PER_MS + WAIT_MS;
+	struct fetch fetch;
+	int i;
+
+	process_signal(&cluster.nodes[1].process, SIGTERM);
+	while (cluster_node_status(&cluster, 1, "leaving") != 1)
+		cr_assert_lt(clock_monotonic_us() / US_PER_MS, until_ms);
+	for (i = 0; i < 10; i++) {
+		cr_assert_eq(call_once(&cluster, i % NODES, "beta", &fetch),
+			     200);
+		fetch_finish(&fetch);
+	}
+}
+
 /*
  * Symptom: an upstream that has said it is leaving gets new work, or what it
  * has is cut.
