--- a/src/base/log_test.c
+++ b/src/base/log_test.c
@@ -84,10 +84,8 @@
 		const char *text;
 		const char *written;
 	} cases[] = {
-		{ "\xff\xfe", "(not UTF-8)" },
-		{ "\xc3\xa9", "\xc3\xa9" },
-		{ "\xe2\x82", "(not UTF-8)" },
-		{ "\xc0\x80", "(not UTF-8)" },
+		{ "\xff\xfe", "(not UTF-8)" }, { "\xc3\xa9", "\xc3\xa9" },
+		{ "\xe2\x82", "(not UTF-8)" }, { "\xc0\x80", "(not UTF-8)" },
 		{ "", "\"name\":\"\"" },
 	};
 	static char line[READ_SIZE];
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -97,8 +97,7 @@
  */
 static int64_t waited_us(const struct call *call)
 {
-	int64_t left_us =
-		call->intake.terms.deadline_us - call->started_us;
+	int64_t left_us = call->intake.terms.deadline_us - call->started_us;
 	int64_t given_us = call->match.kind->timeout_ms * US_PER_MS;
 
 	return left_us < given_us ? given_us - left_us : 0;
@@ -119,8 +118,8 @@
 			min_us(latest_us,
 			       call->started_us + kind->timeout_ms * US_PER_MS);
 	if (kind->target_ms)
-		call->due_us = call->started_us +
-			       kind->target_ms * US_PER_MS - waited_us(call);
+		call->due_us = call->started_us + kind->target_ms * US_PER_MS -
+			       waited_us(call);
 	terms->deadline_us = min_us(terms->deadline_us, latest_us);
 	/* A call made for another one is worth what that one is worth: the
 	 * look-ups that a publican's request is made of weigh nothing by
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -248,8 +248,7 @@
 		LOG_TEXT("kind", terms->kind),
 		LOG_NUMBER("version", (int64_t)call->config->version),
 		LOG_NUMBER("took_ms", (now_us - call->started_us) / US_PER_MS),
-		LOG_NUMBER("upstream_ms",
-			   call->answer.service_us / US_PER_MS),
+		LOG_NUMBER("upstream_ms", call->answer.service_us / US_PER_MS),
 		LOG_NUMBER("left_ms",
 			   (terms->deadline_us - now_us) / US_PER_MS),
 		LOG_TEXT("pass", passes[call->pass]),
@@ -282,8 +281,8 @@
 			    -1, call_reason_name(action->reason));
 	if (call->exchange) {
 		call_count_end(outcome.verdict);
-		log_end(call, call_reason_name(outcome.reason),
-			outcome.verdict, 0);
+		log_end(call, call_reason_name(outcome.reason), outcome.verdict,
+			0);
 		reply_refusal(call->exchange, call->caller->options.names,
 			      &outcome, call->intake.terms.request_id, NULL);
 	}
--- a/src/call/frames.c
+++ b/src/call/frames.c
@@ -83,8 +83,8 @@
 	encode_run(encoder, &request->headers);
 	encode_uint(encoder, request->body_size);
 	encode_run(encoder, &request->part);
-	encode_uint(encoder, request->due_us > 0 ? (uint64_t)request->due_us
-						 : 0);
+	encode_uint(encoder,
+		    request->due_us > 0 ? (uint64_t)request->due_us : 0);
 }
 
 /* Whether a run is whole pairs of "name\0value\0", none of them empty-named,
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -127,7 +127,8 @@
 		LOG_TEXT("end", end_of(&judgement->outcome)),
 		LOG_TEXT("verdict", verdict_name(judgement->outcome.verdict)),
 		LOG_NUMBER("status", answer->status),
-		LOG_TEXT("text", judgement->answered ? NULL : answer->err->text),
+		LOG_TEXT("text",
+			 judgement->answered ? NULL : answer->err->text),
 		LOG_TEXT("kind", serving->terms.kind),
 		LOG_NUMBER("queued_ms",
 			   (gate->started_us - gate->arrived_us) / US_PER_MS),
@@ -160,9 +161,9 @@
 		LOG_NUMBER("running", gate->running_count),
 		LOG_NUMBER("waiting", gate->waiting_count),
 		LOG_NUMBER("limit", gate_limit(gate, now(serving->server))),
-		LOG_NUMBER("due_in_ms", (serving->gate.deadline_us -
-					 now(serving->server)) /
-						US_PER_MS),
+		LOG_NUMBER("due_in_ms",
+			   (serving->gate.deadline_us - now(serving->server)) /
+				   US_PER_MS),
 	};
 
 	log_request(false, slice, "turned_away", fields,
--- a/src/gate/forecast.c
+++ b/src/gate/forecast.c
@@ -315,8 +315,7 @@
 	own_us = own_work_us(gate, request, now_us);
 
 	/* The share is a floor: what others leave over makes it faster. */
-	return free_us +
-	       (own_us < all_us ? own_us : all_us) / limit;
+	return free_us + (own_us < all_us ? own_us : all_us) / limit;
 }
 
 int64_t forecast_retry_after_ms(const struct gate *gate, int64_t now_us)
--- a/src/gate/overload_test.c
+++ b/src/gate/overload_test.c
@@ -278,7 +278,8 @@
 	for (i = 0; i < COUNT(cases); i++) {
 		struct sim_setup setup = {
 			.options = gate_of_nine,
-			.upstream = { .capacity = 9, .grey_share = cases[i].share,
+			.upstream = { .capacity = 9,
+				      .grey_share = cases[i].share,
 				      .breaks = cases[i].breaks },
 			.sources = calm,
 			.source_count = COUNT(calm),
@@ -288,10 +289,11 @@
 
 		sim_run(&setup, &result);
 		printf("share %.1f, breaks %d: refused %u, shed %u of %u\n",
-		       cases[i].share, cases[i].breaks, result.refused[0], result.shed,
-		       result.offered[0]);
+		       cases[i].share, cases[i].breaks, result.refused[0],
+		       result.shed, result.offered[0]);
 		cr_expect_leq(result.refused[0], 0.06 * result.offered[0],
-			      "share %.1f, breaks %d", cases[i].share, cases[i].breaks);
+			      "share %.1f, breaks %d", cases[i].share,
+			      cases[i].breaks);
 	}
 }
 
--- a/src/gate/simulation_test.c
+++ b/src/gate/simulation_test.c
@@ -81,8 +81,7 @@
 		crowd = 1;
 	if (sim->setup->upstream.thrashes)
 		crowd *= crowd;
-	call->sheds = (crowd > 1 && sim->setup->upstream.sheds) ||
-		      is_grey(sim);
+	call->sheds = (crowd > 1 && sim->setup->upstream.sheds) || is_grey(sim);
 	call->end_us = sim->now_us + (int64_t)(call->work_us * slowness(sim) *
 					       (crowd > 1 ? crowd : 1));
 	if (call->sheds)
--- a/src/http/framing_test.c
+++ b/src/http/framing_test.c
@@ -143,45 +143,54 @@
 		uint32_t requests;
 		bool closes;
 	} cases[] = {
-		{ "plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n",
-		  "GET /a []", 1, false },
-		{ "body", "POST /a HTTP/1.1\r\nHost: h\r\n"
-			  "Content-Length: 3\r\n\r\nabc",
+		{ "plain", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", "GET /a []", 1,
+		  false },
+		{ "body",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3\r\n\r\nabc",
 		  "POST /a [abc]", 1, false },
-		{ "chunks", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
-			    "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+		{ "chunks",
+		  "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+		  "chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
 		  "POST /a [abc]", 1, false },
-		{ "two lengths", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				 "Content-Length: 3\r\nContent-Length: 4\r\n"
-				 "\r\nabcd",
+		{ "two lengths",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3\r\nContent-Length: 4\r\n"
+		  "\r\nabcd",
 		  "HTTP/1.1 400", 0, true },
-		{ "one length twice", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				      "Content-Length: 3\r\n"
-				      "Content-Length: 3\r\n\r\nabc",
+		{ "one length twice",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3\r\n"
+		  "Content-Length: 3\r\n\r\nabc",
 		  "HTTP/1.1 400", 0, true },
-		{ "length and chunks", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				       "Content-Length: 3\r\n"
-				       "Transfer-Encoding: chunked\r\n\r\n"
-				       "0\r\n\r\n",
+		{ "length and chunks",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3\r\n"
+		  "Transfer-Encoding: chunked\r\n\r\n"
+		  "0\r\n\r\n",
 		  "HTTP/1.1 400", 0, true },
-		{ "chunks and length", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				       "Transfer-Encoding: chunked\r\n"
-				       "Content-Length: 3\r\n\r\n0\r\n\r\n",
+		{ "chunks and length",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Transfer-Encoding: chunked\r\n"
+		  "Content-Length: 3\r\n\r\n0\r\n\r\n",
 		  "HTTP/1.1 400", 0, true },
-		{ "another coding", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				    "Transfer-Encoding: gzip\r\n\r\nabc",
+		{ "another coding",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Transfer-Encoding: gzip\r\n\r\nabc",
 		  "HTTP/1.1 400", 0, true },
-		{ "negative length", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				     "Content-Length: -1\r\n\r\n",
+		{ "negative length",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: -1\r\n\r\n",
 		  "HTTP/1.1 400", 0, true },
-		{ "length of letters", "POST /a HTTP/1.1\r\nHost: h\r\n"
-				       "Content-Length: 3x\r\n\r\nabc",
+		{ "length of letters",
+		  "POST /a HTTP/1.1\r\nHost: h\r\n"
+		  "Content-Length: 3x\r\n\r\nabc",
 		  "HTTP/1.1 400", 0, true },
 		{ "two hosts", "GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
 		  "HTTP/1.1 400", 0, true },
 		{ "blank in a name",
-		  "GET /a HTTP/1.1\r\nHost : h\r\nX: y\r\n\r\n",
-		  "HTTP/1.1 400", 0, true },
+		  "GET /a HTTP/1.1\r\nHost : h\r\nX: y\r\n\r\n", "HTTP/1.1 400",
+		  0, true },
 		{ "no protocol", "GET /a\r\n\r\n", "HTTP/1.1 400", 0, true },
 		{ "rubbish", "\x01\x02\x03\r\n\r\n", "HTTP/1.1 501", 0, true },
 		{ "an unknown method", "SEAL /a HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -192,8 +201,8 @@
 		  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade\r\n"
 		  "Upgrade: other\r\n\r\n",
 		  "GET /a []", 1, false },
-		{ "the old protocol", "GET /a HTTP/1.0\r\n\r\n", "GET /a []",
-		  1, true },
+		{ "the old protocol", "GET /a HTTP/1.0\r\n\r\n", "GET /a []", 1,
+		  true },
 		{ "a last request",
 		  "GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 		  "GET /b HTTP/1.1\r\nHost: h\r\n\r\n",
@@ -235,8 +244,7 @@
 	}
 }
 
-Test(framing, a_head_over_the_limit_is_refused, .init = setup,
-     .fini = teardown)
+Test(framing, a_head_over_the_limit_is_refused, .init = setup, .fini = teardown)
 {
 	static char text[TEXT_SIZE];
 	char line[1200];
@@ -324,8 +332,8 @@
 	aborts++;
 }
 
-Test(framing, all_requests_of_a_caller_that_hangs_up_are_aborted,
-     .init = setup, .fini = teardown)
+Test(framing, all_requests_of_a_caller_that_hangs_up_are_aborted, .init = setup,
+     .fini = teardown)
 {
 	static char text[TEXT_SIZE];
 	int fd = connect_to(http_server_address(&server));
@@ -349,11 +357,11 @@
 struct script {
 	const char *name;
 	const char *answer;
-	bool closes;
-	bool resets;
 	enum http_delivery delivery;
 	unsigned int status;
 	const char *body;
+	bool closes;
+	bool resets;
 	bool delimited;
 	bool kept; /* the connection is used again */
 };
@@ -433,7 +441,8 @@
 	int fd;
 	int i;
 
-	snprintf(url, sizeof(url), "http://%s/x", address_format(address, text));
+	snprintf(url, sizeof(url), "http://%s/x",
+		 address_format(address, text));
 	http_client_send(client, &request, ended, &ending);
 	fd = accept_one(listen_fd);
 	await_request(fd);
@@ -475,58 +484,67 @@
 {
 	static const struct script scripts[] = {
 		{ "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
-		{ "chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-			    "\r\n2\r\nhi\r\n0\r\n\r\n",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
-		{ "a last one", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-				"Connection: close\r\n\r\nhi",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
-		{ "kept for no time", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-				      "Keep-Alive: timeout=0\r\n\r\nhi",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
-		{ "no length", "HTTP/1.1 200 OK\r\n\r\nhi", true, false,
-		  HTTP_ANSWERED, 200, "hi", false, false },
-		{ "no length, reset", "HTTP/1.1 200 OK\r\n\r\nhi", false, true,
-		  HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi", true,
-		  false, HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "cut chunks", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
-				"\r\n\r\n2\r\nhi\r\n",
-		  true, false, HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "cut head", "HTTP/1.1 200 OK\r\nContent-Le", true, false,
-		  HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "nothing", "", true, false, HTTP_MAY_BE_SENT, 0, "", false,
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "chunks",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n2\r\nhi\r\n0\r\n\r\n",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "a last one",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Connection: close\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "kept for no time",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Keep-Alive: timeout=0\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "no length", "HTTP/1.1 200 OK\r\n\r\nhi", HTTP_ANSWERED, 200,
+		  "hi", true, false, false, false },
+		{ "no length, reset", "HTTP/1.1 200 OK\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, true, false, false },
+		{ "cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
+		{ "cut chunks",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n2\r\nhi\r\n",
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
+		{ "cut head", "HTTP/1.1 200 OK\r\nContent-Le", HTTP_MAY_BE_SENT,
+		  0, "", true, false, false, false },
+		{ "nothing", "", HTTP_MAY_BE_SENT, 0, "", true, false, false,
 		  false },
-		{ "rubbish", "what is this\r\n\r\n", false, false,
-		  HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "bytes behind", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
-				  "hiHTTP/1.1 200 OK\r\n",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
-		{ "a second answer", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-				     "X-Id: 7\r\n\r\nhiHTTP/1.1 200 OK\r\n"
-				     "Content-Length: 2\r\nX-Id: 7\r\n\r\nho",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, false },
-		{ "one left over", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-				   "X-Id: 6\r\n\r\nhoHTTP/1.1 200 OK\r\n"
-				   "Content-Length: 2\r\nX-Id: 7\r\n\r\nhi",
-		  false, false, HTTP_ANSWERED, 200, "hi", true, true },
+		{ "rubbish", "what is this\r\n\r\n", HTTP_MAY_BE_SENT, 0, "",
+		  false, false, false, false },
+		{ "bytes behind",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+		  "hiHTTP/1.1 200 OK\r\n",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "a second answer",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "X-Id: 7\r\n\r\nhiHTTP/1.1 200 OK\r\n"
+		  "Content-Length: 2\r\nX-Id: 7\r\n\r\nho",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "one left over",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "X-Id: 6\r\n\r\nhoHTTP/1.1 200 OK\r\n"
+		  "Content-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
 		{ "only one left over",
 		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 6\r\n\r\nho",
-		  true, false, HTTP_MAY_BE_SENT, 0, "", false, false },
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
 		{ "information first",
 		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
 		  "Content-Length: 0\r\n\r\n",
-		  false, false, HTTP_ANSWERED, 201, "", true, true },
-		{ "too large", "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
-			       "01234567890123456789012345678901234567890123456"
-			       "789",
-		  false, false, HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
-				 "Content-Length: 3\r\n\r\nhi",
-		  false, false, HTTP_MAY_BE_SENT, 0, "", false, false },
-		{ "no content", "HTTP/1.1 204 No Content\r\n\r\n", false, false,
-		  HTTP_ANSWERED, 204, "", true, true },
+		  HTTP_ANSWERED, 201, "", false, false, true, true },
+		{ "too large",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
+		  "01234567890123456789012345678901234567890123456"
+		  "789",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "two lengths",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Content-Length: 3\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "no content", "HTTP/1.1 204 No Content\r\n\r\n",
+		  HTTP_ANSWERED, 204, "", false, false, true, true },
 	};
 	struct http_client client;
 	struct address address;
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -183,7 +183,7 @@
 	uint32_t forgotten_max;
 	uint32_t serve_bytes_per_s;
 	uint32_t eager_bytes_per_s;
-	bool eager; /* tell news at once, not with the next ping */
+	bool eager;	 /* tell news at once, not with the next ping */
 	uint8_t fitness; /* of this node, see struct record */
 	uint64_t seed;
 };
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -141,8 +141,7 @@
 	options.plain = from->plain;
 	options.pull_timeout_us = from->pull_timeout_ms * US_PER_MS;
 	options.serves_max = (uint32_t)from->serves_max;
-	options.serve_bytes_per_s =
-		(uint32_t)serve_bytes_per_s(node->settings);
+	options.serve_bytes_per_s = (uint32_t)serve_bytes_per_s(node->settings);
 	options.push_bytes = (uint32_t)from->push_bytes;
 	options.seed = node_seed();
 	spread_net_init(&node->spread, &options, &node->loop, &node->hub,
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -100,7 +100,6 @@
 	reader_find_members(&node->reader, take_members, node);
 }
 
-
 static int64_t grace_us(const struct node *node)
 {
 	int64_t grace_ms = node->settings->node.first_start ? FIRST_GRACE_MS
--- a/src/profile/profile_parse.c
+++ b/src/profile/profile_parse.c
@@ -144,8 +144,9 @@
 	SCHEMA_FIELD_INTEGER(struct upstream_limits, connections_max,
 			     "connections_max", 1, 1000000, "110",
 			     "Connections that one upstream accepts"),
-	SCHEMA_FIELD_STRING(struct upstream_limits, health_check, "health_check",
-			    0, "", "Path of its health check; empty for none"),
+	SCHEMA_FIELD_STRING(struct upstream_limits, health_check,
+			    "health_check", 0, "",
+			    "Path of its health check; empty for none"),
 };
 
 enum {
--- a/src/profile/reader_rank_test.c
+++ b/src/profile/reader_rank_test.c
@@ -49,19 +49,19 @@
 Test(reader_rank, each_rank_steps_in_once_the_source_is_unread_for_long)
 {
 	static const struct {
-		uint32_t rank;
 		int64_t unread_ms;
+		uint32_t rank;
 		enum reader_action action;
 	} cases[] = {
 		{ 0, 0, READER_WATCH_HEAD },
-		{ 1, 0, READER_NOTHING },
-		{ 1, 900, READER_NOTHING },
-		{ 1, 960, READER_WATCH_HEAD },
-		{ 2, 960, READER_NOTHING },
-		{ 2, 1020, READER_WATCH_HEAD },
-		{ 700, 1379, READER_NOTHING },
-		{ 700, 1380, READER_WATCH_HEAD },
-		{ UINT32_MAX, 1380, READER_WATCH_HEAD },
+		{ 0, 1, READER_NOTHING },
+		{ 900, 1, READER_NOTHING },
+		{ 960, 1, READER_WATCH_HEAD },
+		{ 960, 2, READER_NOTHING },
+		{ 1020, 2, READER_WATCH_HEAD },
+		{ 1379, 700, READER_NOTHING },
+		{ 1380, 700, READER_WATCH_HEAD },
+		{ 1380, UINT32_MAX, READER_WATCH_HEAD },
 	};
 	const int64_t heard_us = 5 * 1000 * US_PER_MS;
 	size_t i;
@@ -80,8 +80,8 @@
 	static const struct {
 		uint32_t nodes;
 		int64_t stale_ms;
-	} cases[] = { { 0, 660 },  { 1, 660 },	 { 2, 780 },   { 3, 900 },
-		      { 4, 900 },  { 25, 1260 }, { 736, 1860 } };
+	} cases[] = { { 0, 660 }, { 1, 660 },	{ 2, 780 },   { 3, 900 },
+		      { 4, 900 }, { 25, 1260 }, { 736, 1860 } };
 	size_t i;
 
 	begin(1);
