--- a/test/fuzz/replay_test.c
+++ b/test/fuzz/replay_test.c
@@ -117,6 +117,16 @@
 	replay(FUZZ_ANNOUNCE, 10000);
 }
 
+Test(fuzz, heartbeats, .timeout = 60)
+{
+	replay(FUZZ_HEARTBEAT, 10000);
+}
+
+Test(fuzz, documents, .timeout = 60)
+{
+	replay(FUZZ_DOCUMENT, 2000);
+}
+
 Test(fuzz, bytes_on_a_connection_of_a_caller, .timeout = 60)
 {
 	replay(FUZZ_CALLER, 1000);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -14,6 +14,8 @@
 #include "operator/target.h"
 #include "os/clock.h"
 #include "os/net.h"
+#include "platform/document.h"
+#include "platform/heartbeat.h"
 #include "profile/head.h"
 #include "profile/profile.h"
 #include "wire/codec.h"
@@ -40,6 +42,10 @@
 		return "announce";
 	case FUZZ_CALLER:
 		return "caller";
+	case FUZZ_HEARTBEAT:
+		return "heartbeat";
+	case FUZZ_DOCUMENT:
+		return "document";
 	case FUZZ_TARGETS:
 		break;
 	}
@@ -314,6 +320,63 @@
 	free(path);
 }
 
+/* The path is in memory of its own size, so that a read past its end is
+ * found. */
+static void run_heartbeat(const uint8_t *data, size_t size)
+{
+	const uint8_t *end = size ? memchr(data, '\n', size) : NULL;
+	size_t path_size = end ? (size_t)(end - data) : size;
+	const uint8_t *body = end ? end + 1 : data + size;
+	struct announce_word word;
+	struct error err = ERROR_INIT;
+	char *path = calloc(1, path_size + 1);
+	bool valid;
+
+	require(path, "memory");
+	if (path_size)
+		memcpy(path, data, path_size);
+	valid = heartbeat_read("POST", path, body, size - (body - data), &word,
+			       &err);
+	require(valid != error_is_set(&err), "a refusal without a reason");
+	if (valid)
+		require(word.now.id[0], "a word of nobody");
+	free(path);
+}
+
+/* Whatever is taken must be as good as what an operator has put. */
+static void run_document(const uint8_t *data, size_t size)
+{
+	struct faults *faults = calloc(1, sizeof(*faults));
+	struct error err = ERROR_INIT;
+	struct document document;
+	struct head head;
+	size_t i;
+
+	require(faults, "memory");
+	if (!document_translate(&document, data, size, &err)) {
+		require(error_is_set(&err), "a refusal without a reason");
+		free(faults);
+		return;
+	}
+	head_init(&head);
+	require(head_decode(&head, document.head, document.head_size, &err),
+		err.text);
+	head_finish(&head);
+	for (i = 0; i < DOCUMENT_BODIES; i++) {
+		const struct buffer *body = &document.bodies[i];
+		struct profile *profile;
+
+		if (!buffer_size(body))
+			continue;
+		profile = profile_parse("fuzz", (const char *)buffer_data(body),
+					buffer_size(body), faults);
+		require(profile, "a profile that nodes would refuse");
+		profile_free(profile);
+	}
+	document_finish(&document);
+	free(faults);
+}
+
 void fuzz_run(enum fuzz_target target, const uint8_t *data, size_t size)
 {
 	switch (target) {
@@ -341,6 +404,12 @@
 	case FUZZ_CALLER:
 		run_caller(data, size);
 		return;
+	case FUZZ_HEARTBEAT:
+		run_heartbeat(data, size);
+		return;
+	case FUZZ_DOCUMENT:
+		run_document(data, size);
+		return;
 	case FUZZ_TARGETS:
 		return;
 	}
--- a/test/fuzz/targets.h
+++ b/test/fuzz/targets.h
@@ -22,6 +22,8 @@
 	FUZZ_PATH,     /* a path of the operators' interface */
 	FUZZ_ANNOUNCE, /* what an upstream says of itself */
 	FUZZ_CALLER,   /* bytes on a connection of a caller */
+	FUZZ_HEARTBEAT, /* a line with a path, then a body */
+	FUZZ_DOCUMENT,	/* a configuration document of the platform */
 	FUZZ_TARGETS,
 };
 
