--- a/src/node/command_explain.c
+++ b/src/node/command_explain.c
@@ -166,7 +166,7 @@
 	if (is_event(line, "call"))
 		printf("ends the call: %s, %s, status %lld, service %s, version "
 		       "%lld, after %lld ms of which %lld at the upstream, %lld "
-		       "ms left; %lld tries: %s\n",
+		       "ms left; tries: %lld: %s\n",
 		       text_of(line, "end"), text_of(line, "verdict"),
 		       number_of(line, "status"), text_of(line, "service"),
 		       number_of(line, "version"), number_of(line, "took_ms"),
@@ -176,12 +176,14 @@
 	else if (is_event(line, "served"))
 		printf("asked its upstream for %s: %s, %s, status %lld, after "
 		       "%lld ms in the queue and %lld ms there, on a %s "
-		       "connection %s\n",
+		       "connection%s%s\n",
 		       text_of(line, "from"), text_of(line, "end"),
 		       text_of(line, "verdict"), number_of(line, "status"),
 		       number_of(line, "queued_ms"),
 		       number_of(line, "upstream_ms"),
-		       text_of(line, "connection"), text_of(line, "text"));
+		       text_of(line, "connection"),
+		       *text_of(line, "text") ? ": " : "",
+		       text_of(line, "text"));
 	else if (is_event(line, "turned_away"))
 		printf("turned it away for %s: %s, with %lld running, %lld "
 		       "waiting, limit %lld, due in %lld ms\n",
--- a/test/functional/golden_test.c
+++ b/test/functional/golden_test.c
@@ -263,3 +263,52 @@
 	session_run(&session, "dump confg");
 	session_expect(&session, "node");
 }
+
+/* Lines as collectors keep them: with words of their own before each object,
+ * from several nodes, not in the order of their times, one cut short. */
+#define CALL_LINE                                                              \
+	"node-c-1 {\"time\":\"2026-03-10T06:09:10.427Z\",\"level\":\"info\","  \
+	"\"slice\":\"call\",\"event\":\"call\",\"data_centre\":\"dc-c\","      \
+	"\"instance\":\"node-c-1\",\"request\":\"44ca850ec3a52351\","          \
+	"\"end\":\"late\",\"verdict\":\"not-run\",\"status\":0,"               \
+	"\"service\":\"cellar-view\",\"kind\":\"today\",\"version\":73,"       \
+	"\"took_ms\":4,\"upstream_ms\":0,\"left_ms\":896,"                     \
+	"\"pass\":\"refused\",\"tries\":1,\"tried\":\"node-b-5 late take=2 "   \
+	"load=3.33@27 in=7 fails=0 far\",\"retry_tokens\":2,"                  \
+	"\"upstreams\":2}\n"
+#define TURNED_AWAY_LINE                                                       \
+	"{\"time\":\"2026-03-10T06:09:10.423Z\",\"level\":\"info\","           \
+	"\"slice\":\"call\",\"event\":\"turned_away\","                        \
+	"\"data_centre\":\"dc-b\",\"instance\":\"node-b-5\","                  \
+	"\"request\":\"44ca850ec3a52351\",\"from\":\"node-c-1\","              \
+	"\"end\":\"late\",\"verdict\":\"not-run\",\"kind\":\"today\","         \
+	"\"back_in_ms\":412,\"running\":6,\"waiting\":16,\"limit\":6,"         \
+	"\"due_in_ms\":892}\n"
+#define SERVED_LINE                                                            \
+	"{\"time\":\"2026-03-10T06:08:41.018Z\",\"level\":\"info\","           \
+	"\"slice\":\"call\",\"event\":\"served\",\"data_centre\":\"dc-c\","    \
+	"\"instance\":\"node-c-1\",\"request\":\"71365a7de574db4b\","          \
+	"\"from\":\"itself\",\"start\":\"i-8\",\"end\":\"upstream-failed\","   \
+	"\"verdict\":\"may-have-run\",\"status\":0,"                           \
+	"\"text\":\"connection reset\",\"kind\":\"today\",\"queued_ms\":101,"  \
+	"\"upstream_ms\":0,\"connection\":\"kept\",\"running\":5,"             \
+	"\"waiting\":3,\"limit\":5}\n"
+
+Test(golden, a_request_is_explained, .init = setup, .fini = teardown,
+     .timeout = 60)
+{
+	session_file(&session, "nodes.log",
+		     CALL_LINE "not a line of a node\n" SERVED_LINE
+			       "{\"time\":\"2026-03-1\n" TURNED_AWAY_LINE);
+	session_note(&session, "refused where it was asked");
+	session_run(&session, "explain 44ca850ec3a52351 @nodes.log");
+	session_note(&session, "the caller's node has written nothing");
+	session_run(&session, "explain 71365a7de574db4b @nodes.log");
+	session_note(&session, "nobody has a line of it");
+	session_run(&session, "explain 0000000000000000 @nodes.log");
+	session_note(&session, "for machines");
+	session_run(&session, "explain --json 71365a7de574db4b @nodes.log");
+	session_note(&session, "a file that is not there");
+	session_run(&session, "explain 71365a7de574db4b /nonexistent");
+	session_expect(&session, "explain");
+}
