--- a/src/membership/members_test.c
+++ b/src/membership/members_test.c
@@ -259,6 +259,34 @@
 	}
 }
 
+/*
+ * Symptom: changes reach a whole data centre late.
+ * Sequence: the node that draws a duty has the narrowest link of all.
+ * Cause: duties dealt by chance alone, although they move bytes for all.
+ */
+Test(members, the_fitter_go_first_for_every_duty, .fini = teardown)
+{
+	static const char *const duties[] = { "reader/0", "reader/1", "link" };
+	size_t d;
+	uint32_t i;
+
+	start(6, 1);
+	for (i = 0; i < mesh.count; i++) {
+		mesh_kill(&mesh, i);
+		mesh.nodes[i].fitness = (uint8_t)(i < 2 ? 1 : 5);
+		mesh_start(&mesh, i);
+	}
+	mesh_agree_within(&mesh, AGREE_MS);
+	for (d = 0; d < COUNT(duties); d++)
+		for (i = 0; i < mesh.count; i++) {
+			uint32_t rank =
+				members_rank(&mesh.nodes[i].members, duties[d]);
+
+			cr_expect_eq(rank >= 4, i < 2, "%s: node %u has %u",
+				     duties[d], i, rank);
+		}
+}
+
 /*
  * Symptom: a node that many ask at once stops serving anybody.
  * Sequence: all others restart and ask the one that holds the state.
--- a/src/membership/mesh_test.c
+++ b/src/membership/mesh_test.c
@@ -105,6 +105,7 @@
 	name_of(i, record.instance);
 	centre_name(mesh, i, record.data_centre);
 	record.incarnation = node->incarnation;
+	record.fitness = node->fitness;
 	options.seed = mesh->options.seed * 1000 + i;
 	members_init(&node->members, &options, &record, mesh->now_us);
 	members_set_own(&node->members, &own, mesh->now_us);
--- a/src/membership/mesh_test.h
+++ b/src/membership/mesh_test.h
@@ -30,6 +30,7 @@
 	bool paused;
 	uint32_t centre;
 	uint64_t incarnation;
+	uint8_t fitness; /* from the next start on */
 	struct {
 		uint64_t incarnation;
 		uint64_t sequence;
