call: a node that has just started keeps what it cannot route yet

They are kept for half of their time, one second at most, in the first three seconds of a node, and handed in again.

--- a/src/call/call.c
+++ b/src/call/call.c
@@ -201,7 +201,8 @@
 	http_exchange_body(exchange, &size);
 	if (caller->draining && !serves_another(exchange))
 		return CALL_DRAINING;
-	if (caller->call_count >= caller->options.calls_max ||
+	if (caller->call_count + caller->early.count >=
+		    caller->options.calls_max ||
 	    caller->held_bytes + size > caller->options.held_bytes_max)
 		return CALL_OVERLOAD;
 	return CALL_REASON_NONE;
@@ -230,6 +231,24 @@
 	return miss;
 }
 
+/* Whether a node that has just started may come to know better. */
+static bool is_unknown_yet(enum route_miss miss,
+			   const struct route_match *match)
+{
+	switch (miss) {
+	case ROUTE_FOUND:
+		return !match->pool->count;
+	case ROUTE_NO_CONFIG:
+	case ROUTE_NO_SERVICE:
+		return true;
+	case ROUTE_NO_PROFILE:
+	case ROUTE_NO_KIND:
+	case ROUTE_NO_HOST:
+		break;
+	}
+	return false;
+}
+
 void caller_handle(struct http_exchange *exchange, void *data)
 {
 	struct caller *caller = data;
@@ -252,6 +271,11 @@
 		return;
 	}
 	miss = match_route(caller, exchange, &intake, &match);
+	if (is_unknown_yet(miss, &match) &&
+	    early_keep(&caller->early, exchange, intake.terms.deadline_us)) {
+		intake_finish(&intake);
+		return;
+	}
 	if (miss != ROUTE_FOUND) {
 		intake_finish(&intake);
 		refuse(caller, exchange, reason_of_miss(miss),
@@ -285,6 +309,7 @@
 	encoder_init(&caller->encoder);
 	caller->local.link.kind = LINK_LOCAL;
 	caller->local.link.pipe = to_server;
+	early_init(&caller->early, options->loop, caller_handle, caller);
 	outbound_init(caller);
 }
 
@@ -297,6 +322,7 @@
 		call_leave_endpoint(call, ENDPOINT_CANCELLED, -1, "stopped");
 		call_free(call);
 	}
+	early_finish(&caller->early);
 	outbound_finish(caller);
 	encoder_finish(&caller->encoder);
 	free((void *)caller->table);
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -4,6 +4,7 @@
 #include <jansson.h>
 
 #include "call/attempt.h"
+#include "call/early.h"
 #include "call/link.h"
 #include "http/server.h"
 #include "route/route.h"
@@ -73,6 +74,7 @@
 	size_t held_bytes;
 	struct call_peer *peers;
 	struct call_peer local;
+	struct early early;
 	struct encoder encoder;
 	struct timer tick;
 	struct timer push;
--- a/src/call/call_test.c
+++ b/src/call/call_test.c
@@ -171,6 +171,39 @@
 	path_teardown();
 }
 
+/*
+ * Symptom: after all nodes have lost power at once, everything that comes
+ * within the first second is refused.
+ * Sequence: a node starts; requests come before it knows where they may go.
+ * Cause: what it does not know yet was taken for what is not there.
+ */
+Test(call, a_node_that_has_just_started_keeps_what_it_cannot_route_yet)
+{
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal" };
+	struct path_result *kept;
+	struct path_result *refused;
+
+	path_setup();
+	router_drop_record(&path.a.router, "b");
+	kept = path_send(&request);
+	while (!path.a.calls.caller.early.count && !kept->answers)
+		path_turn(1);
+	cr_assert_eq(kept->answers, 0);
+	path_route_to_b();
+	path_until(&kept->answers, 1, "kept");
+	cr_expect_eq(kept->status, 200, "%u %s %s", kept->status, kept->verdict,
+		     kept->reason);
+
+	router_drop_record(&path.a.router, "b");
+	path.a.calls.caller.early.until_us = 0;
+	refused = path_send(&request);
+	path_until(&refused->answers, 1, "no longer just started");
+	cr_expect_eq(refused->status, 404);
+	cr_expect_str_eq(refused->verdict, "not-run");
+	path_teardown();
+}
+
 static void note_unreachable(void *data)
 {
 	uint32_t *count = data;
