bench: wait for a node's log line

Cause: a node answers before its log is written, since it never waits for that; converge and capacity read the log at once and took a version for not in force (apply_ms of minus 1.8e12).

--- a/bench/common.c
+++ b/bench/common.c
@@ -13,6 +13,8 @@
 	PROFILE_SIZE = 4096,
 	READY_TIMEOUT_MS = 20000,
 	BEGIN_TIMEOUT_MS = 30000,
+	LOG_WAIT_US = 2 * 1000 * 1000,
+	LOG_POLL_MS = 1,
 };
 
 static int failures;
@@ -258,7 +260,8 @@
 	return version;
 }
 
-int64_t bench_in_force_ms(struct cluster *cluster, uint32_t i, uint64_t version)
+static int64_t look_in_force_ms(const struct cluster *cluster, uint32_t i,
+				uint64_t version)
 {
 	FILE *file = fopen(cluster->nodes[i].process.log_path, "re");
 	uint64_t found = 0;
@@ -273,6 +276,19 @@
 	return found ? at_ms : 0;
 }
 
+int64_t bench_in_force_ms(struct cluster *cluster, uint32_t i, uint64_t version)
+{
+	int64_t until_us = clock_monotonic_us() + LOG_WAIT_US;
+	int64_t at_ms = look_in_force_ms(cluster, i, version);
+
+	/* A node answers before its log is written: it never waits for that. */
+	while (!at_ms && clock_monotonic_us() < until_us) {
+		bench_sleep_ms(LOG_POLL_MS);
+		at_ms = look_in_force_ms(cluster, i, version);
+	}
+	return at_ms;
+}
+
 int64_t bench_versions_reverted(struct cluster *cluster)
 {
 	int64_t reverted = 0;
