--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -6,15 +6,12 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "store/store_result.h"
+
 enum {
 	STATUS_OK = 200,
 	STATUS_NOT_MODIFIED = 304,
-	STATUS_NOT_FOUND = 404,
 	STATUS_CONFLICT = 409,
-	STATUS_PRECONDITION_FAILED = 412,
-	STATUS_TOO_MANY = 429,
-	STATUS_SERVER_ERROR = 500,
-	STATUS_UNAVAILABLE = 503,
 	ANSWER_MAX_BYTES = STORE_VALUE_MAX + 4096,
 };
 
@@ -24,23 +21,6 @@
 	[STORE_RELEASE] = "release",
 };
 
-/* A data centre's name may hold any character. */
-static void escape_key(const char *key, char *out, size_t size)
-{
-	size_t used = 0;
-
-	for (; *key && used + 4 < size; key++) {
-		unsigned char c = (unsigned char)*key;
-
-		if (isalnum(c) || strchr("-_./", c))
-			out[used++] = (char)c;
-		else
-			used += (size_t)snprintf(out + used, size - used,
-						 "%%%02X", c);
-	}
-	out[used] = '\0';
-}
-
 static void write_lease(struct store_message *message,
 			const struct store_request *request)
 {
@@ -83,7 +63,7 @@
 
 	memset(&message->http, 0, sizeof(message->http));
 	address_format(address, text);
-	escape_key(request->key, key, sizeof(key));
+	store_result_escape(request->key, key, sizeof(key));
 	snprintf(message->url, sizeof(message->url), "http://%s/v1/kv/%s", text,
 		 key);
 	message->http.method = "GET";
@@ -116,28 +96,6 @@
 	}
 }
 
-static bool is_read(enum store_kind kind)
-{
-	return kind == STORE_GET || kind == STORE_WATCH;
-}
-
-static void fail(struct store_result *result, enum store_outcome outcome,
-		 enum store_reason reason, enum error_code code,
-		 const char *text)
-{
-	result->outcome = outcome;
-	result->reason = reason;
-	error_set(&result->err, code, "platform: %s", text);
-}
-
-/* A lost answer to a read changes nothing anywhere. */
-static void lost(struct store_result *result, enum store_kind kind,
-		 enum error_code code, const char *text)
-{
-	fail(result, is_read(kind) ? STORE_DID_NOT : STORE_UNKNOWN,
-	     STORE_UNREACHABLE, code, text);
-}
-
 /* Return: 0 where there is none or it is no number. */
 static uint64_t read_revision(const struct http_answer *answer)
 {
@@ -156,8 +114,9 @@
 		       const struct http_answer *answer)
 {
 	if (!result->revision) {
-		fail(result, STORE_DID_NOT, STORE_REJECTED, ERROR_PROTOCOL,
-		     "a value came without its revision");
+		store_result_fail(result, STORE_DID_NOT, STORE_REJECTED,
+				  ERROR_PROTOCOL,
+				  "a value came without its revision");
 		return;
 	}
 	result->value = answer->body;
@@ -175,8 +134,9 @@
 	if (token > 0)
 		result->token = (uint64_t)token;
 	else
-		fail(result, STORE_UNKNOWN, STORE_REJECTED, ERROR_PROTOCOL,
-		     "a lease came without its token");
+		store_result_fail(result, STORE_UNKNOWN, STORE_REJECTED,
+				  ERROR_PROTOCOL,
+				  "a lease came without its token");
 }
 
 static void read_holder(struct store_result *result,
@@ -191,8 +151,8 @@
 	result->remaining_ms =
 		json_integer_value(json_object_get(json, "remaining_ms"));
 	json_decref(json);
-	fail(result, STORE_DID_NOT, STORE_HELD, ERROR_CONFLICT,
-	     "the lease is held by another");
+	store_result_fail(result, STORE_DID_NOT, STORE_HELD, ERROR_CONFLICT,
+			  "the lease is held by another");
 }
 
 static void read_success(struct store_result *result, enum store_kind kind,
@@ -221,32 +181,15 @@
 	case STATUS_OK:
 		read_success(result, kind, answer);
 		return;
-	case STATUS_NOT_FOUND:
-		fail(result, STORE_DID_NOT, STORE_ABSENT, ERROR_NOT_FOUND,
-		     "no such key");
-		return;
 	case STATUS_NOT_MODIFIED:
-		fail(result, STORE_DID_NOT, STORE_NOT_NEWER, ERROR_TIMEOUT,
-		     "nothing newer");
-		return;
-	case STATUS_PRECONDITION_FAILED:
-		fail(result, STORE_DID_NOT, STORE_CHANGED, ERROR_CONFLICT,
-		     "the key has another revision");
+		store_result_fail(result, STORE_DID_NOT, STORE_NOT_NEWER,
+				  ERROR_TIMEOUT, "nothing newer");
 		return;
 	case STATUS_CONFLICT:
 		read_holder(result, answer);
 		return;
-	case STATUS_TOO_MANY:
-	case STATUS_UNAVAILABLE:
-		fail(result, STORE_DID_NOT, STORE_UNREACHABLE, ERROR_BUSY,
-		     "the service refuses calls");
-		return;
 	default:
-		if (answer->status >= STATUS_SERVER_ERROR)
-			lost(result, kind, ERROR_IO, "the service failed");
-		else
-			fail(result, STORE_DID_NOT, STORE_REJECTED,
-			     ERROR_INVALID, "the service rejects the call");
+		store_result_status(result, kind, answer->status);
 		return;
 	}
 }
@@ -256,22 +199,12 @@
 		       const struct http_answer *answer)
 {
 	memset(result, 0, sizeof(*result));
-	switch (answer->delivery) {
-	case HTTP_NOT_SENT:
-		fail(result, STORE_DID_NOT, STORE_UNREACHABLE,
-		     answer->err->code, answer->err->text);
+	if (!store_result_answered(result, request->kind, answer))
 		return;
-	case HTTP_MAY_BE_SENT:
-		lost(result, request->kind, answer->err->code,
-		     answer->err->text);
-		return;
-	case HTTP_ANSWERED:
-		break;
-	}
 	if (!answer->delimited) {
 		/* It may have been cut, and be half of a value. */
-		lost(result, request->kind, ERROR_PROTOCOL,
-		     "an answer without length");
+		store_result_lost(result, request->kind, ERROR_PROTOCOL,
+				  "an answer without length");
 		return;
 	}
 	result->revision = read_revision(answer);
--- a/test/fuzz/targets.h
+++ b/test/fuzz/targets.h
@@ -14,14 +14,14 @@
  */
 
 enum fuzz_target {
-	FUZZ_FRAME,    /* a message between nodes */
-	FUZZ_HUB,      /* bytes on a connection between nodes */
-	FUZZ_HEAD,     /* the head of a version */
-	FUZZ_SETTINGS, /* a settings file */
-	FUZZ_PROFILE,  /* a profile */
-	FUZZ_PATH,     /* a path of the operators' interface */
-	FUZZ_ANNOUNCE, /* what an upstream says of itself */
-	FUZZ_CALLER,   /* bytes on a connection of a caller */
+	FUZZ_FRAME,	/* a message between nodes */
+	FUZZ_HUB,	/* bytes on a connection between nodes */
+	FUZZ_HEAD,	/* the head of a version */
+	FUZZ_SETTINGS,	/* a settings file */
+	FUZZ_PROFILE,	/* a profile */
+	FUZZ_PATH,	/* a path of the operators' interface */
+	FUZZ_ANNOUNCE,	/* what an upstream says of itself */
+	FUZZ_CALLER,	/* bytes on a connection of a caller */
 	FUZZ_HEARTBEAT, /* a line with a path, then a body */
 	FUZZ_DOCUMENT,	/* a configuration document of the platform */
 	FUZZ_TARGETS,
