--- a/src/call/early.c
+++ b/src/call/early.c
@@ -80,9 +80,12 @@
 
 void early_finish(struct early *early)
 {
+	struct early_request *request;
+	struct early_request *next;
+
 	timer_cancel(early->loop, &early->timer);
-	while (early->requests)
-		drop(early->requests);
+	DL_FOREACH_SAFE(early->requests, request, next)
+		drop(request);
 }
 
 bool early_keep(struct early *early, struct http_exchange *exchange,
