--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 BENCHES = call converge rejoin storm overload faults drain capacity
 
 .PHONY: all deps test unit functional test-asan lint format format-check \
-	demo bench install embed clean $(BENCHES:%=bench-%)
+	demo soak bench install embed clean $(BENCHES:%=bench-%)
 
 all: deps
 	@cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS) >/dev/null
@@ -45,6 +45,13 @@
 demo: all
 	$(BUILD)/demo $(BUILD)
 
+# SEED and SEEDS: which schedules of faults; STEPS of 50 ms in each.
+SEED ?= 1
+SEEDS ?= 2
+STEPS ?= 100
+soak: all
+	$(BUILD)/soak $(BUILD) $(SEED) $(SEEDS) $(STEPS)
+
 bench: all
 	@scripts/bench.sh $(BUILD) $(BENCHES)
 
--- a/src/call/trace.h
+++ b/src/call/trace.h
@@ -10,10 +10,12 @@
  * What a call's tries met, as one text for its line in the log: for each try
  * the upstream, how it ended, and what the choice went by.
  *
- *	INSTANCE REASON take=MS load=L@AGE_MS in=N fails=N[ far][ cold]; ...
+ *	INSTANCE REASON take=MS load=L@AGE_MS in=N fails=N[ far]
+ *		[ unreachable]; ...
  *
  * "load" is what the upstream told last and how old that was, "in" the own
- * calls there, "fails" its failures in a row; "far" is another data centre.
+ * calls there, "fails" its failures in a row; "far" is another data centre,
+ * "unreachable" that membership does not hear it.
  */
 
 enum { TRACE_SIZE = 640 };
--- a/src/node/lookup.c
+++ b/src/node/lookup.c
@@ -17,7 +17,7 @@
 	FIRST_START_SPREAD_MS = 1500,
 	LONELY_BASE_MS = 250,
 	LONELY_MOST_MS = 2000,
-	/* Knocks need a round trip; who was not answered by the second look
+	/* A contact needs a round trip; who was not answered by the second look
 	 * after that will not be. */
 	LONELY_LOOKS = 2,
 	SETTLED_MS = 10000,
@@ -69,7 +69,7 @@
 		lookup->wait_ms = LONELY_MOST_MS;
 }
 
-static void knock(struct lookup *lookup)
+static void contact_listed(struct lookup *lookup)
 {
 	const struct address *own = &lookup->gossip->hub->self.address;
 	uint32_t i;
@@ -194,7 +194,7 @@
 	directory_parse(&lookup->directory,
 			result->size ? (const char *)result->value : "",
 			result->size);
-	knock(lookup);
+	contact_listed(lookup);
 	if (amend(lookup))
 		write_directory(lookup);
 	else
--- a/src/node/lookup.h
+++ b/src/node/lookup.h
@@ -15,11 +15,11 @@
  *
  * Finds the first peers through the directory in the platform's service, and
  * keeps the directory fit for others to do the same. A node that reaches
- * nobody reads it, knocks at every address and writes itself down where its
- * data centre has room, or where nobody listed there has answered. Once nodes
- * have met, only the first of each data centre looks now and then: islands
- * that formed apart find each other so, and addresses of nodes that are gone
- * are replaced.
+ * nobody reads it, contacts every address and enters itself where its data
+ * centre has room, or where nobody listed there has answered. Once nodes know
+ * each other, only the first of each data centre reads it now and then: groups
+ * of nodes that formed apart find each other so, and addresses of nodes that
+ * are gone are replaced.
  */
 
 /**
