call: a caller that hangs up leaves a line, too

Cause: the line of a call was written only where its caller still waited. Ruled out: the limit of lines (no lines_left_out in that minute).

--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -279,10 +279,11 @@
 				    ? ENDPOINT_FAILED
 				    : ENDPOINT_CANCELLED,
 			    -1, call_reason_name(action->reason));
+	/* Also where the caller has hung up: for its user the request failed,
+	 * and without a line nobody could tell why. */
+	log_end(call, call_reason_name(outcome.reason), outcome.verdict, 0);
 	if (call->exchange) {
 		call_count_end(outcome.verdict);
-		log_end(call, call_reason_name(outcome.reason), outcome.verdict,
-			0);
 		reply_refusal(call->exchange, call->caller->options.names,
 			      &outcome, call->intake.terms.request_id, NULL);
 	}
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -7,7 +7,12 @@
 #include "functional/profile.h"
 #include "os/clock.h"
 
-enum { WAIT_MS = BACKGROUND_WAIT_MS, NODES = 2, POLL_MS = 20 };
+enum {
+	WAIT_MS = BACKGROUND_WAIT_MS,
+	NODES = 2,
+	POLL_MS = 20,
+	LINE_SIZE = 8192
+};
 
 static const char slow[] = "/seal?service_us=3000000";
 
@@ -50,6 +55,25 @@
 	cluster_stop(&cluster);
 }
 
+/* Whether a line of a node's log has @text, within some time: lines are
+ * written after what they tell of. */
+static bool log_tells(const struct process *process, const char *text)
+{
+	int64_t until_ms = clock_monotonic_us() / US_PER_MS + WAIT_MS;
+	bool found = false;
+
+	while (!found && clock_monotonic_us() / US_PER_MS < until_ms) {
+		FILE *file = fopen(process->log_path, "re");
+		char line[LINE_SIZE];
+
+		while (file && !found && fgets(line, sizeof(line), file))
+			found = strstr(line, text) != NULL;
+		if (file)
+			fclose(file);
+	}
+	return found;
+}
+
 static void ends_whole(struct background *call)
 {
 	cr_assert(background_end(call));
@@ -155,7 +179,8 @@
 	struct fetch fetch = {
 		.method = "POST",
 		.body = "{}",
-		.headers = { "Geraniumplank-Deadline-Ms: 30000" },
+		.headers = { "Geraniumplank-Deadline-Ms: 30000",
+			     "Geraniumplank-Request-Id: impatient" },
 		.timeout_ms = 500,
 	};
 
@@ -163,6 +188,9 @@
 				   "/seal?service_us=60000000"));
 	fetch_finish(&fetch);
 	cr_assert(upstream_wait_number(&cluster, 1, "cancelled", 1));
+	/* For its user the request failed: a line has to tell why. */
+	cr_assert(log_tells(&cluster.nodes[0].process,
+			    "\"request\":\"impatient\",\"end\":\"cancelled\""));
 	cr_assert_eq(upstream_number(&cluster, 1, "running"), 0);
 	cr_assert(call_wait_status(&cluster, 0, "beta", 200));
 }
