profile: routes of a host share one table

Cause: a node that starts needed 170 to 260 ms from the head of its first version until that was in force (trace of a killed fleet of 86, median of 84 nodes 176 ms), on a tenth of a core. Ruled out: the link (the bodies came in one go) and the handshake. The time went into parsing TOML: 16 profiles of 15 kB with a table of five keys for each of 1,613 routes, though these have four hosts and twelve rules between them.

Change: a host_route table may hold prefixes by names in place of one name and prefix, and a part may be a service's name alone.

--- a/src/profile/profile.c
+++ b/src/profile/profile.c
@@ -21,6 +21,7 @@
 	free(profile->services);
 	free(profile->kinds);
 	free(profile->routes);
+	free(profile->host_rules);
 	free(profile->host_routes);
 	free(profile->upstreams);
 	free(profile);
--- a/src/profile/profile.h
+++ b/src/profile/profile.h
@@ -84,23 +84,30 @@
 };
 
 /**
- * struct host_route - which services get the requests for a host and prefix
+ * struct host_rule - what is the same for the host routes of one table
  * @host: compared without case and without a port
- * @prefix: begins and ends with "/"; the longest that fits wins
  * @kind: index into the profile's kinds
  * @weight_sum: of all parts
  */
-struct host_route {
-	char name[HOST_ROUTE_NAME_SIZE];
+struct host_rule {
 	char host[HOST_SIZE];
-	char prefix[ROUTE_PATH_SIZE];
 	uint32_t kind;
-	uint32_t line;
 	struct route_part parts[HOST_ROUTE_PARTS_MAX];
 	uint32_t part_count;
 	double weight_sum;
 };
 
+/**
+ * struct host_route - which services get the requests for a host and prefix
+ * @prefix: begins and ends with "/"; the longest that fits wins
+ * @rule: index into the profile's host rules
+ */
+struct host_route {
+	char name[HOST_ROUTE_NAME_SIZE];
+	char prefix[ROUTE_PATH_SIZE];
+	uint32_t rule;
+};
+
 /**
  * struct caller_limits - what a caller may send, and how long it may take
  * @present: whether the profile sets them
@@ -144,7 +151,9 @@
 	uint32_t kind_count;
 	struct profile_route *routes;
 	uint32_t route_count;
+	struct host_rule *host_rules;
 	struct host_route *host_routes;
+	uint32_t host_rule_count;
 	uint32_t host_route_count;
 	struct caller_limits limits;
 	struct upstream_limits *upstreams;
--- a/src/profile/profile_parse.c
+++ b/src/profile/profile_parse.c
@@ -1,4 +1,4 @@
-#include "profile/profile.h"
+#include "profile/profile_parse.h"
 
 #include <ctype.h>
 #include <stdio.h>
@@ -12,12 +12,6 @@
 	char kind[KIND_NAME_SIZE];
 };
 
-/* A host route as written, its kind still a name. */
-struct host_route_text {
-	struct host_route route;
-	char kind[KIND_NAME_SIZE];
-};
-
 static const struct schema_field profile_fields[] = {
 	{ .name = "services",
 	  .type = SCHEMA_ARRAY,
@@ -50,7 +44,8 @@
 	{ .name = "host_route",
 	  .type = SCHEMA_ARRAY,
 	  .fallback = "",
-	  .help = "Which services get the requests for a host and prefix" },
+	  .help = "Which services get the requests for a host and its "
+		  "prefixes" },
 	{ .name = "limits",
 	  .type = SCHEMA_TABLE,
 	  .fallback = "",
@@ -102,27 +97,6 @@
 			    "Name of a kind of this profile"),
 };
 
-static const struct schema_field host_route_fields[] = {
-	SCHEMA_FIELD_STRING(struct host_route_text, route.name, "name", 1, NULL,
-			    "Name of the route, for logs"),
-	SCHEMA_FIELD_STRING(struct host_route_text, route.host, "host", 1, NULL,
-			    "Host field of the requests, without a port"),
-	SCHEMA_FIELD_STRING(struct host_route_text, route.prefix, "prefix", 1,
-			    NULL, "Beginning of the path, from / to /"),
-	SCHEMA_FIELD_STRING(struct host_route_text, kind, "kind", 1, NULL,
-			    "Name of a kind of this profile"),
-	{ .name = "parts",
-	  .type = SCHEMA_ARRAY,
-	  .help = "Services that share the requests" },
-};
-
-static const struct schema_field part_fields[] = {
-	SCHEMA_FIELD_STRING(struct route_part, service, "service", 1, NULL,
-			    "Service that gets this part"),
-	SCHEMA_FIELD_REAL(struct route_part, weight, "weight", 0,
-			  PART_WEIGHT_MAX, "1", "Share among the parts"),
-};
-
 static const struct schema_field limit_fields[] = {
 	SCHEMA_FIELD_INTEGER(struct caller_limits, header_bytes, "header_bytes",
 			     256, 1048576, "16384",
@@ -154,16 +128,13 @@
 		sizeof(profile_fields) / sizeof(profile_fields[0]),
 	KIND_FIELD_COUNT = sizeof(kind_fields) / sizeof(kind_fields[0]),
 	ROUTE_FIELD_COUNT = sizeof(route_fields) / sizeof(route_fields[0]),
-	HOST_ROUTE_FIELD_COUNT =
-		sizeof(host_route_fields) / sizeof(host_route_fields[0]),
-	PART_FIELD_COUNT = sizeof(part_fields) / sizeof(part_fields[0]),
 	LIMIT_FIELD_COUNT = sizeof(limit_fields) / sizeof(limit_fields[0]),
 	UPSTREAM_FIELD_COUNT =
 		sizeof(upstream_fields) / sizeof(upstream_fields[0]),
 	SERVICE_KEY_COUNT = sizeof(service_keys) / sizeof(service_keys[0]),
 };
 
-static uint32_t count_children(const struct toml_node *node)
+uint32_t parse_count(const struct toml_node *node)
 {
 	const struct toml_node *child;
 	uint32_t count = 0;
@@ -175,10 +146,10 @@
 }
 
 /* Room for @count items, bounded; what is over the bound is a fault. */
-static void *new_items(const struct toml_node *node, const char *name,
-		       uint32_t most, size_t item_size, struct faults *faults)
+void *parse_new_items(const struct toml_node *node, const char *name,
+		      uint32_t most, size_t item_size, struct faults *faults)
 {
-	uint32_t count = count_children(node);
+	uint32_t count = parse_count(node);
 	void *items;
 
 	if (count > most)
@@ -229,8 +200,9 @@
 
 	if (!list || list->type != TOML_ARRAY)
 		return;
-	profile->services = new_items(list, "services", PROFILE_SERVICES_MAX,
-				      sizeof(*profile->services), faults);
+	profile->services = parse_new_items(list, "services",
+					    PROFILE_SERVICES_MAX,
+					    sizeof(*profile->services), faults);
 	for (node = list->first_child;
 	     node && profile->service_count < PROFILE_SERVICES_MAX;
 	     node = node->next)
@@ -268,8 +240,8 @@
 
 	if (!table || table->type != TOML_TABLE)
 		return;
-	profile->kinds = new_items(table, "kind", PROFILE_KINDS_MAX,
-				   sizeof(*profile->kinds), faults);
+	profile->kinds = parse_new_items(table, "kind", PROFILE_KINDS_MAX,
+					 sizeof(*profile->kinds), faults);
 	for (node = table->first_child;
 	     node && profile->kind_count < PROFILE_KINDS_MAX; node = node->next)
 		read_kind(profile, node, faults);
@@ -307,8 +279,8 @@
 	return schema_nearest(name, names, profile->kind_count);
 }
 
-static void resolve_kind(const struct profile *profile, uint32_t *kind,
-			 uint32_t line, const char *name, struct faults *faults)
+void parse_kind_name(const struct profile *profile, uint32_t *kind,
+		     uint32_t line, const char *name, struct faults *faults)
 {
 	const char *nearest;
 	uint32_t i;
@@ -369,8 +341,8 @@
 			  "its end, is \"%s\"",
 			  text.path);
 	if (*text.kind)
-		resolve_kind(profile, &route->kind, node->line, text.kind,
-			     faults);
+		parse_kind_name(profile, &route->kind, node->line, text.kind,
+				faults);
 	if (*text.path)
 		check_duplicate(profile, route, faults);
 	profile->route_count++;
@@ -383,106 +355,14 @@
 
 	if (!list || list->type != TOML_ARRAY)
 		return;
-	profile->routes = new_items(list, "route", PROFILE_ROUTES_MAX,
-				    sizeof(*profile->routes), faults);
+	profile->routes = parse_new_items(list, "route", PROFILE_ROUTES_MAX,
+					  sizeof(*profile->routes), faults);
 	for (node = list->first_child;
 	     node && profile->route_count < PROFILE_ROUTES_MAX;
 	     node = node->next)
 		read_route(profile, node, faults);
 }
 
-static bool prefix_valid(const char *prefix)
-{
-	size_t length = strlen(prefix);
-	const char *at;
-
-	if (!length || prefix[0] != '/' || prefix[length - 1] != '/')
-		return false;
-	for (at = prefix; *at; at++)
-		if (!isgraph((unsigned char)*at) || strchr("?#*", *at))
-			return false;
-	return true;
-}
-
-static void read_part(struct host_route *route, const struct toml_node *node,
-		      struct faults *faults)
-{
-	struct route_part *part = &route->parts[route->part_count];
-
-	if (node->type != TOML_TABLE) {
-		fault_add(faults, node->line,
-			  "host_route.parts must hold tables");
-		return;
-	}
-	schema_read(node, "host_route.parts", part_fields, PART_FIELD_COUNT,
-		    part, faults);
-	route->weight_sum += part->weight;
-	route->part_count++;
-}
-
-static void read_parts(struct host_route *route, const struct toml_node *list,
-		       uint32_t line, struct faults *faults)
-{
-	const struct toml_node *node;
-
-	if (!list || list->type != TOML_ARRAY)
-		return;
-	for (node = list->first_child;
-	     node && route->part_count < HOST_ROUTE_PARTS_MAX;
-	     node = node->next)
-		read_part(route, node, faults);
-	if (node)
-		fault_add(faults, line, "a host route may have %d parts",
-			  HOST_ROUTE_PARTS_MAX);
-	if (route->weight_sum <= 0)
-		fault_add(faults, line,
-			  "the parts of a host route must have some weight");
-}
-
-static void read_host_route(struct profile *profile,
-			    const struct toml_node *node, struct faults *faults)
-{
-	struct host_route *route =
-		&profile->host_routes[profile->host_route_count];
-	struct host_route_text text = { .kind = "" };
-
-	if (node->type != TOML_TABLE) {
-		fault_add(faults, node->line, "host_route must be a table");
-		return;
-	}
-	schema_read(node, "host_route", host_route_fields,
-		    HOST_ROUTE_FIELD_COUNT, &text, faults);
-	*route = text.route;
-	route->line = node->line;
-	if (*route->prefix && !prefix_valid(route->prefix))
-		fault_add(faults, node->line,
-			  "host_route.prefix must begin and end with /, is "
-			  "\"%s\"",
-			  route->prefix);
-	if (*text.kind)
-		resolve_kind(profile, &route->kind, node->line, text.kind,
-			     faults);
-	read_parts(route, toml_find(node, "parts"), node->line, faults);
-	profile->host_route_count++;
-}
-
-static void read_host_routes(struct profile *profile,
-			     const struct toml_node *list,
-			     struct faults *faults)
-{
-	const struct toml_node *node;
-
-	if (!list || list->type != TOML_ARRAY)
-		return;
-	profile->host_routes = new_items(list, "host_route",
-					 PROFILE_HOST_ROUTES_MAX,
-					 sizeof(*profile->host_routes), faults);
-	for (node = list->first_child;
-	     node && profile->host_route_count < PROFILE_HOST_ROUTES_MAX;
-	     node = node->next)
-		read_host_route(profile, node, faults);
-}
-
 static void read_limits(struct profile *profile, const struct toml_node *table,
 			struct faults *faults)
 {
@@ -500,8 +380,9 @@
 
 	if (!list || list->type != TOML_ARRAY)
 		return;
-	profile->upstreams = new_items(list, "upstream", PROFILE_UPSTREAMS_MAX,
-				       sizeof(*profile->upstreams), faults);
+	profile->upstreams =
+		parse_new_items(list, "upstream", PROFILE_UPSTREAMS_MAX,
+				sizeof(*profile->upstreams), faults);
 	for (node = list->first_child;
 	     node && profile->upstream_count < PROFILE_UPSTREAMS_MAX;
 	     node = node->next) {
@@ -585,7 +466,7 @@
 	read_services(profile, toml_find(root, "services"), faults);
 	read_kinds(profile, toml_find(root, "kind"), faults);
 	read_routes(profile, toml_find(root, "route"), faults);
-	read_host_routes(profile, toml_find(root, "host_route"), faults);
+	parse_host_routes(profile, toml_find(root, "host_route"), faults);
 	read_limits(profile, toml_find(root, "limits"), faults);
 	read_upstreams(profile, toml_find(root, "upstream"), faults);
 	toml_free(root);
--- a/src/profile/profile_test.c
+++ b/src/profile/profile_test.c
@@ -73,6 +73,14 @@
 }
 
 #define KIND "services = [\"a\"]\n[kind.k]\n"
+#define NAME_64                                                                \
+	"sixteen-letters-sixteen-letters-sixteen-letters-sixteen-letters-"
+#define RULE                                                                   \
+	"[kind.k]\n[[host_route]]\nhost = \"h\"\nkind = \"k\"\n"               \
+	"parts = [\"a\"]\n"
+#define HOST_ROUTE                                                             \
+	"[kind.k]\n[[host_route]]\n\nname = \"r\"\nhost = \"h\"\n"             \
+	"prefix = \"/\"\nkind = \"k\"\n"
 #define ROUTE "[[route]]\npath = \"/\"\nkind = \"k\"\n"
 
 Test(profile, faults_are_told_with_their_lines)
@@ -114,6 +122,18 @@
 		{ "services = 3\nkind = 3\nroute = 3\n", 3, 1,
 		  "services must be an array" },
 		{ "", 3, 0, "services is missing" },
+		{ HOST_ROUTE "parts = [\"\"]\n", 1, 8, "1 to" },
+		{ HOST_ROUTE "parts = [3]\n", 2, 8, "names or tables" },
+		{ HOST_ROUTE "parts = [\"" NAME_64 "\"]\n", 1, 8, "1 to" },
+		{ HOST_ROUTE "parts = []\n", 1, 2, "some weight" },
+		{ RULE "name = \"r\"\n", 1, 2, "begin and end with /" },
+		{ RULE "prefix = \"/\"\n", 1, 2, "name of a host route" },
+		{ RULE "name = \"r\"\n[host_route.prefixes]\nr = \"/\"\n", 1, 2,
+		  "but not both" },
+		{ RULE "prefixes = {r = \"/a\"}\n", 1, 6, "begin and end" },
+		{ RULE "prefixes = {r = 3}\n", 1, 6, "must hold strings" },
+		{ RULE "prefixes = {\"\" = \"/\"}\n", 1, 6, "1 to 63" },
+		{ RULE "prefixes = \"/\"\n", 1, 6, "must be a table" },
 	};
 	size_t i;
 
@@ -145,3 +165,78 @@
 	cr_assert_null(profile_parse("", good, strlen(good), &faults));
 	cr_assert_eq(faults.count, 3);
 }
+
+/* A name alone stands for a whole part. */
+Test(profile, parts_are_names_or_tables)
+{
+	static const struct {
+		const char *parts;
+		uint32_t count;
+		double first;
+		double sum;
+	} cases[] = {
+		{ "[\"a\"]", 1, 1, 1 },
+		{ "[{service = \"a\"}]", 1, 1, 1 },
+		{ "[{service = \"a\", weight = 90}, \"b\"]", 2, 90, 91 },
+	};
+	char text[512];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct faults faults = { 0 };
+		const struct host_rule *rule;
+		struct profile *profile;
+
+		snprintf(text, sizeof(text), HOST_ROUTE "parts = %s\n",
+			 cases[i].parts);
+		profile = profile_parse("p", text, strlen(text), &faults);
+		cr_assert_not_null(profile, "%zu: %s", i, faults.items[0].text);
+		rule = &profile->host_rules[0];
+		cr_expect_eq(rule->part_count, cases[i].count);
+		cr_expect_str_eq(rule->parts[0].service, "a");
+		cr_expect_float_eq(rule->parts[0].weight, cases[i].first,
+				   0.001);
+		cr_expect_float_eq(rule->weight_sum, cases[i].sum, 0.001);
+		profile_free(profile);
+	}
+}
+
+/* One table for the routes of a host that differ in their prefixes only. */
+Test(profile, routes_of_a_host_share_their_rule)
+{
+	static const char text[] = RULE "[host_route.prefixes]\n"
+					"r-1 = \"/a/\"\n"
+					"\"r 2\" = \"/b/\"\n"
+					"[[host_route]]\nhost = \"g\"\n"
+					"kind = \"k\"\nparts = [\"b\"]\n"
+					"name = \"r-3\"\nprefix = \"/\"\n";
+	static const struct {
+		const char *name;
+		const char *prefix;
+		const char *host;
+		const char *service;
+	} wanted[] = {
+		{ "r-1", "/a/", "h", "a" },
+		{ "r 2", "/b/", "h", "a" },
+		{ "r-3", "/", "g", "b" },
+	};
+	struct faults faults = { 0 };
+	struct profile *profile =
+		profile_parse("p", text, strlen(text), &faults);
+	size_t i;
+
+	cr_assert_not_null(profile, "%s", faults.items[0].text);
+	cr_assert_eq(profile->host_route_count, 3);
+	cr_expect_eq(profile->host_rule_count, 2);
+	for (i = 0; i < profile->host_route_count; i++) {
+		const struct host_route *route = &profile->host_routes[i];
+		const struct host_rule *rule =
+			&profile->host_rules[route->rule];
+
+		cr_expect_str_eq(route->name, wanted[i].name);
+		cr_expect_str_eq(route->prefix, wanted[i].prefix);
+		cr_expect_str_eq(rule->host, wanted[i].host);
+		cr_expect_str_eq(rule->parts[0].service, wanted[i].service);
+	}
+	profile_free(profile);
+}
--- a/src/route/hosts.c
+++ b/src/route/hosts.c
@@ -36,12 +36,14 @@
 		      const struct profile *profile,
 		      const struct host_route *route, struct random *random)
 {
+	const struct host_rule *rule = &profile->host_rules[route->rule];
 	struct host_slot *other;
 
-	slot->key = key_of(hash_host(route->host), route->prefix,
+	slot->key = key_of(hash_host(rule->host), route->prefix,
 			   strlen(route->prefix));
 	slot->profile = profile;
 	slot->route = route;
+	slot->rule = rule;
 	/* Nodes begin at different places, or all of them would send their
 	 * first requests to the same part. */
 	slot->turn = random_share(random);
@@ -94,7 +96,7 @@
 {
 	char names[2][HOST_SIZE];
 
-	fold_host(slot->route->host, names[0]);
+	fold_host(slot->rule->host, names[0]);
 	fold_host(host, names[1]);
 	return !strcmp(names[0], names[1]) &&
 	       strlen(slot->route->prefix) == size &&
@@ -125,16 +127,16 @@
 
 const struct route_part *host_slot_turn(struct host_slot *slot)
 {
-	const struct host_route *route = slot->route;
-	double at = slot->turn * route->weight_sum;
+	const struct host_rule *rule = slot->rule;
+	double at = slot->turn * rule->weight_sum;
 	const struct route_part *last = NULL;
 	uint32_t i;
 
 	slot->turn += TURN_STEP;
 	if (slot->turn >= 1)
 		slot->turn -= 1;
-	for (i = 0; i < route->part_count; i++) {
-		const struct route_part *part = &route->parts[i];
+	for (i = 0; i < rule->part_count; i++) {
+		const struct route_part *part = &rule->parts[i];
 
 		if (part->weight <= 0)
 			continue;
--- a/src/route/hosts.h
+++ b/src/route/hosts.h
@@ -19,12 +19,14 @@
  * struct host_slot - one route
  * @key: hash of its host, in lower case, and its prefix
  * @profile: that holds it
+ * @rule: of @route
  * @turn: where the sequence stands, from 0 to 1
  */
 struct host_slot {
 	uint64_t key;
 	const struct profile *profile;
 	const struct host_route *route;
+	const struct host_rule *rule;
 	double turn;
 	UT_hash_handle hh;
 };
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -364,7 +364,7 @@
 		return ROUTE_NO_HOST;
 	match->config = router->config;
 	match->profile = slot->profile;
-	match->kind = &slot->profile->kinds[slot->route->kind];
+	match->kind = &slot->profile->kinds[slot->rule->kind];
 	match->pool = pool_get(router, host_slot_turn(slot)->service);
 	/* A service that only host routes lead to has no profile of its own
 	 * that would set its share of retries. */
