membership: nodes that left are looked for at their addresses

Those who stay forget whoever says that it leaves. Ruled out: addresses that were taken (the node came back at its own), suspicion (a clean stop is told and not suspected).

Change: the two fittest of a data centre ping the address of a node that has left four times a second for ten seconds, or until it is known again.

Nodes of machines that are new during the outage still wait for the store: nobody can know of them.

--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -303,6 +303,7 @@
 	sync_tick(members);
 	collect_tick(members);
 	expire(members);
+	departed_tick(members);
 	rumor_tick(members);
 }
 
@@ -319,6 +320,8 @@
 		next_us = members->next_link_us;
 	if (members->eager_at_us && members->eager_at_us < next_us)
 		next_us = members->eager_at_us;
+	if (members->departed_at_us && members->departed_at_us < next_us)
+		next_us = members->departed_at_us;
 	if (members->collect_at_us && members->collect_at_us < next_us)
 		next_us = members->collect_at_us;
 	return next_us;
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -31,6 +31,7 @@
 	MEMBERS_ACCUSERS = 3,
 	MEMBERS_RELAYS = 16,
 	MEMBERS_KNOCKS = 64,
+	MEMBERS_DEPARTED = 32, /* looked for at once */
 	MEMBERS_COLLECTORS = 2,
 	MEMBERS_UNANSWERED_MAX = 8,
 	MEMBERS_DATA_CENTRES_MAX = 64,
@@ -280,6 +281,16 @@
 	int64_t at_us;
 };
 
+/**
+ * struct departed - a node that left and may come back at its address
+ * @until_us: it is looked for; 0 for a free place
+ */
+struct departed {
+	uint64_t id;
+	struct address address;
+	int64_t until_us;
+};
+
 /** struct members_counts - totals since the start. */
 struct members_counts {
 	uint64_t probes;
@@ -329,7 +340,9 @@
 	struct relay relays[MEMBERS_RELAYS];
 	struct knock knocks[MEMBERS_KNOCKS];
 	uint32_t knock_at;
-	uint64_t *order; /* of probing, ids */
+	struct departed departed[MEMBERS_DEPARTED];
+	int64_t departed_at_us; /* of the next look for them; 0: none */
+	uint64_t *order;	/* of probing, ids */
 	uint32_t order_count;
 	uint32_t order_capacity;
 	uint32_t order_at;
--- a/src/membership/members_defs.h
+++ b/src/membership/members_defs.h
@@ -55,6 +55,11 @@
 		   const struct data_centre *centre, const char *duty,
 		   struct member **top, uint32_t most);
 
+/* departed.c */
+void departed_add(struct members *members, uint64_t id,
+		  const struct address *address);
+void departed_tick(struct members *members);
+
 /* take.c */
 enum take take_gone(struct members *members, struct member *member,
 		    const struct packet_mark *mark);
@@ -111,6 +116,7 @@
 void swim_suspect(struct members *members, struct member *member,
 		  uint64_t accuser);
 void swim_knock_soon(struct members *members);
+void swim_knock(struct members *members, const struct address *to);
 void swim_health(struct members *members, int32_t change);
 void swim_paused(struct members *members, int64_t gap_us);
 uint32_t swim_log2(uint32_t n);
--- a/src/membership/members_test.c
+++ b/src/membership/members_test.c
@@ -494,3 +494,31 @@
 				     before);
 	}
 }
+
+/*
+ * Symptom: a node that was restarted while the platform's service is down
+ * answers nothing until that is back, though its neighbours are well.
+ * Sequence: it leaves, starts again at its address and can learn of nobody.
+ * Cause: who has left is forgotten by all others.
+ */
+Test(members, who_left_is_found_when_it_comes_back, .fini = teardown)
+{
+	static const struct {
+		int64_t away_ms;
+		bool found;
+	} cases[] = { { 400, true }, { 5000, true }, { 15000, false } };
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		start(6, 1);
+		mesh_leave(&mesh, 4);
+		mesh_run(&mesh, cases[i].away_ms);
+		mesh_start(&mesh, 4);
+		mesh.nodes[4].members.seed_count = 0;
+		mesh_run(&mesh, 400);
+		cr_expect_eq(members_live(&mesh.nodes[4].members) > 1,
+			     cases[i].found, "case %zu", i);
+		mesh_finish(&mesh);
+	}
+	start(2, 1);
+}
--- a/src/membership/swim.c
+++ b/src/membership/swim.c
@@ -326,7 +326,7 @@
 			members->now_us + members->knock_wait_us;
 }
 
-static void knock_at(struct members *members, const struct address *to)
+void swim_knock(struct members *members, const struct address *to)
 {
 	struct packet_out out = { .type = PACKET_PING, .own = true };
 
@@ -365,7 +365,7 @@
 		members->seeds[i] = seed;
 		if (seed_known(members, &seed))
 			continue;
-		knock_at(members, &seed);
+		swim_knock(members, &seed);
 		knocks++;
 	}
 	return knocks;
@@ -384,7 +384,7 @@
 
 		if (table_live(member))
 			continue;
-		knock_at(members, &member->record.address);
+		swim_knock(members, &member->record.address);
 		knocks++;
 	}
 	return knocks;
--- a/src/membership/take.c
+++ b/src/membership/take.c
@@ -74,14 +74,21 @@
 {
 	bool known = table_is_forgotten(members, mark->id, mark->incarnation,
 					mark->sequence);
+	struct address address = { 0 };
+	bool departs = false;
 
 	if (!mark->incarnation ||
 	    (member && mark_order(mark, &member->record) < 0))
 		return TAKE_OLD;
 	if (member) {
+		departs = member->data_centre == members->home &&
+			  table_live(member);
+		address = member->record.address;
 		nudge(members, member, mark);
 		table_drop(members, member);
 	}
+	if (departs)
+		departed_add(members, mark->id, &address);
 	table_forget(members, mark->id, mark->incarnation, mark->sequence);
 	if (known)
 		return TAKE_OLD;
