lookup: a node that has found others does not read the directory again

Cause: each node of a start read the directory twice (160 reads by 86 nodes): the second look was set before the first contact was answered, and came whatever had happened since.

--- a/src/node/lookup.c
+++ b/src/node/lookup.c
@@ -194,6 +194,12 @@
 
 	if (lookup->call || lookup->stopped)
 		return;
+	/* The second look of a node that has found others meanwhile would only
+	 * cost a call: half of the reads of a start of all. */
+	if (!lookup_alone(lookup) && !is_first(lookup)) {
+		look_later(lookup);
+		return;
+	}
 	counter_add(&looks, 1);
 	lookup->call = store_send(lookup->store, &request, read_done, lookup);
 }
