reader: only eight nodes of a data centre step in, and only while they read

Cause: for three seconds after an outage of the store calls took 40 to 90 ms more than queue and upstream account for (p90 203 ms, was 21), most on nodes with links of 5 Mbit/s. Ruled out: processor time (nodes used a twentieth of their share), queues at gates, attempts that were refused (single attempts only). In the outage all nodes of each data centre had stepped in; they stayed for 5 s though none of them had read anything, and each was sent every version whole, 257 kB or 0.4 s of such a link.

Change: nodes after the eighth wait 10 s more; a node whose read failed does not stay; whoever stays does so for 2 s, was 5; the two fittest look more often while the store is down (1 s, was 5), so that others hear that it is back before they look themselves.

--- a/src/profile/reader_core.c
+++ b/src/profile/reader_core.c
@@ -27,8 +27,12 @@
 			  int64_t now_us)
 {
 	core->rank = rank;
-	if (core->election == READER_BY_RANK)
+	if (core->election == READER_BY_RANK) {
+		core->head_backoff.most_ms = rank < READER_EAGER_RANKS
+						     ? READER_EAGER_BACKOFF_MS
+						     : HEAD_BACKOFF_MOST_MS;
 		return;
+	}
 	/* A holder stays: it counts as a candidate while it holds. */
 	if (rank < READER_CANDIDATES || lease_holds(&core->lease, now_us))
 		lease_set_rank(&core->lease, rank, now_us);
@@ -39,12 +43,13 @@
 /* When a node that is not among the first ranks steps in. */
 static int64_t step_in_us(const struct reader_core *core)
 {
-	int64_t steps = core->rank;
+	int64_t wait_ms = core->stale_ms;
 
-	if (steps > READER_STEPS_MAX)
-		steps = READER_STEPS_MAX;
-	return core->source_us +
-	       (core->stale_ms + steps * READER_STEP_MS) * US_PER_MS;
+	if (core->rank < READER_STEPS_MAX)
+		wait_ms += (int64_t)core->rank * READER_STEP_MS;
+	else
+		wait_ms += READER_LATE_MS;
+	return core->source_us + wait_ms * US_PER_MS;
 }
 
 static bool is_elected(const struct reader_core *core, int64_t now_us)
@@ -221,6 +226,10 @@
 	if (core->answered) {
 		core->contact_us = now_us;
 		reader_core_set_source(core, now_us);
+	} else {
+		/* To stay is for those who can read; the others would read on
+		 * for seconds when the service is back. */
+		core->stay_until_us = 0;
 	}
 	if (result->outcome == STORE_TOOK_EFFECT) {
 		note_value(core, result, use, now_us);
--- a/src/profile/reader_core.h
+++ b/src/profile/reader_core.h
@@ -40,8 +40,19 @@
 	READER_STALE_ROUND_MS = 120,
 	READER_STEP_MS = 60,
 	READER_STEPS_MAX = 8,
-	/* By rank: who has stepped in stays for so long. */
-	READER_STAY_MS = 5000,
+	/* By rank: those after the first eight wait so much longer. That all
+	 * eight are kept from a service that refuses a third of the nodes
+	 * happens once in five thousand times; when a data centre stepped in
+	 * whole, each of its nodes was sent each version whole for seconds,
+	 * and calls over links of 5 Mbit/s waited 0.4 s behind it. */
+	READER_LATE_MS = 10 * 1000,
+	/* By rank: the first two try more often while the service does not
+	 * answer, so that others hear that it is back before they try. */
+	READER_EAGER_RANKS = 2,
+	READER_EAGER_BACKOFF_MS = 1000,
+	/* By rank: who has stepped in stays for so long: until others have
+	 * heard of it, and no longer, as above. */
+	READER_STAY_MS = 2000,
 	/* By rank: between two reads, so that a burst of versions costs few. */
 	READER_PAUSE_MS = 150,
 };
