reader: a watch that waits is no word of the service

No node put version 11 in force for five seconds.

Cause: the service fell silent towards exactly the four nodes that watched it; their watches waited on connections that stayed up, for up to 20 s, and a watch that waits after an answered one counted as word of the service. So nobody else stepped in, though b-3 had its read of the directory answered at the same time. Ruled out: a lost answer (all four nodes), a cut (their peers heard them).

Change: while its watch waits, a reader makes a small read four times a second, of the kind that may be old and costs a tenth. The service is taken for heard when that or a watch is answered, and not in between; if it is not answered within 0.5 s the watch is dropped and begun anew. The patience of the others grows by those 250 ms.

--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -65,6 +65,7 @@
 	timer_cancel(reader->loop, &reader->timer);
 	cancel(&reader->lease_call);
 	cancel(&reader->head_call);
+	cancel(&reader->probe_call);
 	cancel(&reader->members_call);
 	cancel(&reader->find_call);
 	for (i = 0; i < READER_BODIES_MAX; i++)
@@ -378,6 +379,32 @@
 		store_send(reader->store, &request, members_got, reader);
 }
 
+static void probe_done(const struct store_result *result, void *data)
+{
+	struct reader *reader = data;
+
+	reader->probe_call = NULL;
+	reader_core_probed(&reader->core, result, clock_monotonic_us());
+	if (reader->core.watch_lost)
+		log_warn("reader", "service_silent",
+			 LOG_TEXT("reason", result->err.text));
+	pump(reader);
+}
+
+/* Nothing is there: any answer at all is what is asked for. */
+static void probe(struct reader *reader)
+{
+	const struct store_request request = {
+		.kind = STORE_GET,
+		.key = "alive",
+		.deadline_ms = READER_PROBE_DEADLINE_MS,
+		.may_be_old = true,
+	};
+
+	reader->probe_call =
+		store_send(reader->store, &request, probe_done, reader);
+}
+
 static void carry_out(struct reader *reader, const struct reader_order *order)
 {
 	switch (order->action) {
@@ -395,6 +422,9 @@
 	case READER_STOP_WATCH:
 		cancel(&reader->head_call);
 		return;
+	case READER_PROBE:
+		probe(reader);
+		return;
 	}
 }
 
@@ -446,12 +476,13 @@
 
 int64_t reader_contact_us(const struct reader *reader)
 {
-	return reader_core_contact_us(&reader->core, clock_monotonic_us());
+	return reader_core_contact_us(&reader->core);
 }
 
 void reader_withdraw(struct reader *reader)
 {
 	cancel(&reader->head_call);
+	cancel(&reader->probe_call);
 	reader->core.head_out = false;
 	if (reader->core.election == READER_BY_RANK) {
 		timer_cancel(reader->loop, &reader->timer);
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -86,6 +86,7 @@
 	struct timer timer;
 	struct store_call *lease_call;
 	struct store_call *head_call;
+	struct store_call *probe_call;
 	struct store_call *members_call;
 	struct store_call *find_call;
 	struct reader_body bodies[READER_BODIES_MAX];
--- a/src/profile/reader_core.c
+++ b/src/profile/reader_core.c
@@ -82,9 +82,9 @@
 		core->source_us = at_us;
 }
 
-int64_t reader_core_contact_us(const struct reader_core *core, int64_t now_us)
+int64_t reader_core_contact_us(const struct reader_core *core)
 {
-	return core->head_out && core->answered ? now_us : core->contact_us;
+	return core->contact_us;
 }
 
 void reader_core_step_in(struct reader_core *core, int64_t now_us)
@@ -98,21 +98,40 @@
 		*at_us = us;
 }
 
+static void stop_watch(struct reader_core *core, struct reader_order *order)
+{
+	core->head_out = false;
+	core->answered = false;
+	core->watch_lost = false;
+	order->action = READER_STOP_WATCH;
+}
+
+static void next_probe(struct reader_core *core, int64_t now_us,
+		       struct reader_order *order)
+{
+	if (!core->probe_out && now_us >= core->probe_us) {
+		core->probe_out = true;
+		order->action = READER_PROBE;
+		return;
+	}
+	if (!core->probe_out)
+		order->at_us = core->probe_us;
+	if (core->rank >= READER_RANKS)
+		not_before(&order->at_us, core->stay_until_us);
+}
+
 static void next_by_rank(struct reader_core *core, int64_t now_us,
 			 struct reader_order *order)
 {
 	order->at_us = INT64_MAX;
 	/* Each watcher is sent every version whole; on a thin link that holds
 	 * up calls for half a second, so whoever need not watch does not. */
-	if (core->head_out && !is_elected(core, now_us)) {
-		core->head_out = false;
-		core->answered = false;
-		order->action = READER_STOP_WATCH;
+	if (core->head_out && (core->watch_lost || !is_elected(core, now_us))) {
+		stop_watch(core, order);
 		return;
 	}
 	if (core->head_out) {
-		if (core->rank >= READER_RANKS)
-			order->at_us = core->stay_until_us;
+		next_probe(core, now_us, order);
 		return;
 	}
 	if (!is_elected(core, now_us)) {
@@ -126,6 +145,7 @@
 	if (core->rank >= READER_RANKS && now_us >= core->stay_until_us)
 		core->stay_until_us = now_us + READER_STAY_MS * US_PER_MS;
 	core->head_out = true;
+	core->probe_us = now_us + READER_PROBE_MS * US_PER_MS;
 	order->revision = core->revision;
 	order->action = READER_WATCH_HEAD;
 }
@@ -216,21 +236,51 @@
 	return now_us - result->sent_us < READER_PACE_MS * US_PER_MS;
 }
 
+static void heard(struct reader_core *core, int64_t now_us)
+{
+	core->answered = true;
+	core->contact_us = now_us;
+	reader_core_set_source(core, now_us);
+}
+
+/* To stay is for those who can read; the others would read on for seconds when
+ * the service is back. */
+static void not_heard(struct reader_core *core)
+{
+	core->answered = false;
+	core->stay_until_us = 0;
+}
+
+static bool is_answer(const struct store_result *result)
+{
+	return result->reason != STORE_UNREACHABLE &&
+	       result->reason != STORE_TOO_LATE;
+}
+
+void reader_core_probed(struct reader_core *core,
+			const struct store_result *result, int64_t now_us)
+{
+	core->probe_out = false;
+	core->probe_us = now_us + READER_PROBE_MS * US_PER_MS;
+	if (is_answer(result)) {
+		heard(core, now_us);
+		return;
+	}
+	not_heard(core);
+	core->watch_lost = core->head_out;
+	after(core, backoff_next_ms(&core->head_backoff, &core->random),
+	      now_us);
+}
+
 void reader_core_head(struct reader_core *core,
 		      const struct store_result *result, enum head_use use,
 		      int64_t now_us)
 {
 	core->head_out = false;
-	core->answered = result->reason != STORE_UNREACHABLE &&
-			 result->reason != STORE_TOO_LATE;
-	if (core->answered) {
-		core->contact_us = now_us;
-		reader_core_set_source(core, now_us);
-	} else {
-		/* To stay is for those who can read; the others would read on
-		 * for seconds when the service is back. */
-		core->stay_until_us = 0;
-	}
+	if (is_answer(result))
+		heard(core, now_us);
+	else
+		not_heard(core);
 	if (result->outcome == STORE_TOOK_EFFECT) {
 		note_value(core, result, use, now_us);
 	} else if (result->reason == STORE_NOT_NEWER) {
--- a/src/profile/reader_core.h
+++ b/src/profile/reader_core.h
@@ -36,7 +36,13 @@
 	 * each doubling. Each rank waits a step more. Together with a read this
 	 * must stay below the time in which versions are to be in force, 2 s
 	 * at the least. */
-	READER_STALE_MS = 660,
+	READER_STALE_MS = 910,
+	/* By rank: a watch that waits says nothing of a service that has
+	 * fallen silent, and its connection stays up; so a small read is made
+	 * so often while it waits. Included in READER_STALE_MS. */
+	READER_PROBE_MS = 250,
+	/* A service that is fifty times slower than usual still makes it. */
+	READER_PROBE_DEADLINE_MS = 500,
 	READER_STALE_ROUND_MS = 120,
 	READER_STEP_MS = 60,
 	READER_STEPS_MAX = 8,
@@ -67,6 +73,7 @@
 	READER_WATCH_HEAD,  /* newer than @revision; to reader_core_head() */
 	READER_GET_MEMBERS, /* to reader_core_members() */
 	READER_STOP_WATCH,  /* drop the watch of the head that is in flight */
+	READER_PROBE,	    /* a cheap read; to reader_core_probed() */
 };
 
 /**
@@ -97,7 +104,10 @@
  *	the data centre
  * @stay_until_us: READER_BY_RANK: has stepped in until then
  * @answered: the last watch of the head was answered
- * @contact_us: when
+ * @watch_lost: the service has fallen silent, the watch is to be dropped
+ * @probe_out: a probe is in flight
+ * @probe_us: when the next one is due
+ * @contact_us: when the service was last heard here
  * @revision: of the head seen last, 0 before the first: a watch from there
  *	answers at once if there is a head at all
  * @head_out: a watch of the head is in flight
@@ -111,6 +121,9 @@
 	int64_t stay_until_us;
 	int64_t contact_us;
 	bool answered;
+	bool watch_lost;
+	bool probe_out;
+	int64_t probe_us;
 	struct lease lease;
 	struct random random;
 	bool head_out;
@@ -137,13 +150,8 @@
  */
 void reader_core_set_source(struct reader_core *core, int64_t at_us);
 
-/**
- * reader_core_contact_us() - when this node last had word of the service
- *
- * A watch that waits after an answered one is word: the service says nothing
- * while nothing changes.
- */
-int64_t reader_core_contact_us(const struct reader_core *core, int64_t now_us);
+/** reader_core_contact_us() - when this node last heard the service. */
+int64_t reader_core_contact_us(const struct reader_core *core);
 
 /**
  * reader_core_step_in() - by rank: read now, whatever the rank, and stay for
@@ -164,6 +172,10 @@
 		      const struct store_result *result, enum head_use use,
 		      int64_t now_us);
 
+/** reader_core_probed() - a probe has ended, with whatever answer. */
+void reader_core_probed(struct reader_core *core,
+			const struct store_result *result, int64_t now_us);
+
 /** reader_core_members() - the members record was read and written. */
 void reader_core_members(struct reader_core *core, int64_t now_us);
 
--- a/src/store/store_defs.h
+++ b/src/store/store_defs.h
@@ -61,6 +61,8 @@
  * @holder: leases: unique for each start of a process, so that a successor
  *	does not take its predecessor's lease for its own
  * @deadline_ms: for all tries together; 0 for the store's default
+ * @may_be_old: GET: a value that was replaced seconds ago will do; services
+ *	that have cheaper reads of this kind use one
  */
 struct store_request {
 	enum store_kind kind;
@@ -73,6 +75,7 @@
 	int64_t ttl_ms;
 	uint64_t token;
 	int64_t deadline_ms;
+	bool may_be_old;
 };
 
 /**
