metrics: latency histograms by service and outcome, gauges, read back

Before, times were quantiles of one process over all services, which collectors cannot add up, and every figure was "untyped". Now four histograms (whole call, what we added, queue, upstream) with fixed bounds by service and outcome, bounded in number; counters and gauges are told apart; new gauges for limit, running and waiting requests, retry tokens and the age of the platform's last answer.

Tests: a client library of Prometheus (python3-prometheus-client, from Debian) reads a node's metrics and checks types, sums and the number of answers; a node whose log is a full pipe that nobody reads goes on answering (400 calls, the pipe proved full); bounds and the number of histograms as tables.

--- a/scripts/deps.sh
+++ b/scripts/deps.sh
@@ -5,7 +5,8 @@
 	ccache valgrind libapr1-dev libaprutil1-dev libmsgpack-dev
 	libhttp-parser-dev libargtable2-dev libcriterion-dev
 	libtomlplusplus-dev libjansson-dev libxxhash-dev uthash-dev
-	libsodium-dev zlib1g-dev libcurl4-gnutls-dev"
+	libsodium-dev zlib1g-dev libcurl4-gnutls-dev
+	python3-prometheus-client"
 missing=
 for package in $packages
 do
--- a/src/base/counter.h
+++ b/src/base/counter.h
@@ -1,6 +1,7 @@
 #ifndef BASE_COUNTER_H
 #define BASE_COUNTER_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /**
@@ -15,11 +16,13 @@
  * struct counter - one monotonic count or gauge
  * @name: "slice.what", with the unit at the end where there is one
  * @help: one sentence for operators
+ * @gauge: it may also fall
  */
 struct counter {
 	const char *name;
 	const char *help;
 	int64_t value;
+	bool gauge;
 	struct counter *next;
 };
 
@@ -44,15 +47,22 @@
 void counter_register(struct counter *counter);
 void histogram_register(struct histogram *histogram);
 
-/** COUNTER() - define a counter @var of this module, named @n. */
-#define COUNTER(var, n, h)                                                     \
-	static struct counter var = { .name = (n), .help = (h) };              \
+#define COUNTER_OF(var, n, h, g)                                               \
+	static struct counter var = { .name = (n),                             \
+				      .help = (h),                             \
+				      .gauge = (g) };                          \
 	__attribute__((constructor)) static void register_##var(void)          \
 	{                                                                      \
 		counter_register(&var);                                        \
 	}                                                                      \
 	struct counter
 
+/** COUNTER() - define a counter @var of this module, named @n. */
+#define COUNTER(var, n, h) COUNTER_OF(var, n, h, false)
+
+/** GAUGE() - the same for a value that may also fall. */
+#define GAUGE(var, n, h) COUNTER_OF(var, n, h, true)
+
 /** HISTOGRAM() - define a histogram @var of this module, named @n. */
 #define HISTOGRAM(var, n, h)                                                   \
 	static struct histogram var = { .name = (n), .help = (h) };            \
--- /dev/null
+++ b/src/base/latency_test.c
@@ -0,0 +1,69 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/latency.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static const struct latency *find(enum latency_part part, const char *service,
+				  const char *outcome)
+{
+	const struct latency *latency;
+
+	for (latency = latency_first(); latency; latency = latency->next)
+		if (latency->part == part &&
+		    !strcmp(latency->service, service) &&
+		    !strcmp(latency->outcome, outcome))
+			return latency;
+	return NULL;
+}
+
+Test(latency, a_time_is_counted_below_the_first_bound_that_holds_it)
+{
+	static const struct {
+		int64_t took_us;
+		uint32_t bucket;
+	} cases[] = {
+		{ -5, 0 },  { 0, 0 },	     { 500, 0 },       { 501, 1 },
+		{ 620, 1 }, { 2500000, 11 }, { 10000000, 12 }, { 10000001, 13 },
+	};
+	uint64_t wanted[LATENCY_BOUNDS + 1] = { 0 };
+	const struct latency *latency;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		latency_add(LATENCY_TOTAL, "seal", "2xx", cases[i].took_us);
+		wanted[cases[i].bucket]++;
+	}
+	latency = find(LATENCY_TOTAL, "seal", "2xx");
+	cr_assert_not_null(latency);
+	cr_expect_arr_eq(latency->counts, wanted, sizeof(wanted));
+	cr_expect_eq(latency->count, COUNT(cases));
+	cr_expect_eq(latency->sum_us, 22501622);
+	cr_expect_null(find(LATENCY_ADDED, "seal", "2xx"));
+}
+
+/*
+ * Symptom: a node's memory grows, and its metrics with it.
+ * Sequence: callers name ever new services.
+ * Cause: a histogram for each name that ever came.
+ */
+Test(latency, further_services_are_counted_together)
+{
+	const struct latency *latency;
+	char service[32];
+	uint32_t count = 0;
+	int i;
+
+	for (i = 0; i < LATENCY_SERIES_MAX * 2; i++) {
+		snprintf(service, sizeof(service), "service-%d", i);
+		latency_add(LATENCY_TOTAL, service, "2xx", 1000);
+	}
+	for (latency = latency_first(); latency; latency = latency->next)
+		count++;
+	cr_expect_eq(count, LATENCY_SERIES_MAX + 1);
+	latency = find(LATENCY_TOTAL, "other", "2xx");
+	cr_assert_not_null(latency);
+	cr_expect_eq(latency->count, LATENCY_SERIES_MAX);
+}
--- a/src/call/call_defs.c
+++ b/src/call/call_defs.c
@@ -1,5 +1,7 @@
 #include "call/call_defs.h"
 
+#include <string.h>
+
 enum { STATUS_BAD_GATEWAY = 502, STATUS_UNAVAILABLE = 503 };
 
 struct reason_text {
@@ -52,6 +54,17 @@
 	return reasons[reason].name;
 }
 
+const char *call_outcome_name(const char *end, uint32_t status)
+{
+	static const char *const classes[] = { "1xx", "2xx", "3xx", "4xx",
+					       "5xx" };
+	uint32_t class = status / 100;
+
+	if (strcmp(end, CALL_ANSWERED) != 0 || class < 1 || class > 5)
+		return end;
+	return classes[class - 1];
+}
+
 const char *call_reason_text(enum call_reason reason)
 {
 	return reasons[reason].text;
--- a/src/call/call_defs.h
+++ b/src/call/call_defs.h
@@ -97,9 +97,21 @@
 	uint32_t retry_after_ms;
 };
 
+/** CALL_ANSWERED - stands for the name of a reason where there was an answer. */
+#define CALL_ANSWERED "answered"
+
 /** call_reason_name() - the stable name, for headers, logs and counters. */
 const char *call_reason_name(enum call_reason reason);
 
+/**
+ * call_outcome_name() - how a request ended, for metrics
+ * @end: CALL_ANSWERED, or the name of a reason
+ * @status: of the upstream's answer
+ *
+ * Return: "2xx" to "5xx" for answers, else @end.
+ */
+const char *call_outcome_name(const char *end, uint32_t status);
+
 /** call_reason_text() - one sentence for people. */
 const char *call_reason_text(enum call_reason reason);
 
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -3,6 +3,7 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "base/latency.h"
 #include "base/log.h"
 #include "call/calling.h"
 #include "call/reply.h"
@@ -231,6 +232,16 @@
 	       (!call->due_us || now(call->caller) <= call->due_us);
 }
 
+static void count_time(const struct call *call, const char *outcome,
+		       int64_t took_us)
+{
+	const char *service = call->intake.service;
+
+	latency_add(LATENCY_TOTAL, service, outcome, took_us);
+	latency_add(LATENCY_ADDED, service, outcome,
+		    took_us - call->answer.service_us);
+}
+
 /* The one line of a call beside its caller.
  * @status: of the upstream's answer; 0 if there is none */
 static void log_end(const struct call *call, const char *end,
@@ -261,6 +272,8 @@
 
 	log_request(is_ordinary(call, status), slice, "call", fields,
 		    sizeof(fields) / sizeof(fields[0]));
+	count_time(call, call_outcome_name(end, status),
+		   now_us - call->started_us);
 }
 
 static void fail(struct call *call, const struct attempt_action *action)
@@ -308,8 +321,9 @@
 	histogram_add(&total_time, total_us);
 	histogram_add(&added_time, total_us - answer->service_us);
 	reply_answer(call->exchange, call->caller->options.names, &whole);
-	call_leave_endpoint(call, ENDPOINT_ANSWERED, answer->load, "answered");
-	log_end(call, "answered", VERDICT_RAN, answer->status);
+	call_leave_endpoint(call, ENDPOINT_ANSWERED, answer->load,
+			    CALL_ANSWERED);
+	log_end(call, CALL_ANSWERED, VERDICT_RAN, answer->status);
 	call_free(call);
 }
 
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -3,6 +3,7 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "base/latency.h"
 #include "base/log.h"
 #include "call/serving.h"
 #include "os/clock.h"
@@ -108,10 +109,21 @@
 static const char *end_of(const struct call_outcome *outcome)
 {
 	return outcome->reason == CALL_REASON_NONE
-		       ? "answered"
+		       ? CALL_ANSWERED
 		       : call_reason_name(outcome->reason);
 }
 
+static void count_times(const struct serving *serving, const char *outcome,
+			int64_t upstream_us)
+{
+	const struct gate_request *gate = &serving->gate;
+	const char *service = serving->server->service;
+
+	latency_add(LATENCY_QUEUE, service, outcome,
+		    gate->started_us - gate->arrived_us);
+	latency_add(LATENCY_UPSTREAM, service, outcome, upstream_us);
+}
+
 /* The line of an attempt beside the upstream, where that was asked. */
 static void log_served(const struct serving *serving,
 		       const struct upstream_judgement *judgement,
@@ -179,6 +191,8 @@
 	};
 
 	log_turned_away(serving, &outcome);
+	latency_add(LATENCY_QUEUE, serving->server->service, end_of(&outcome),
+		    now(serving->server) - serving->gate.arrived_us);
 	serving_end(serving, &outcome, NULL, 0);
 }
 
@@ -221,6 +235,10 @@
 	gate_done(server->options.gate, &serving->gate, judgement.lesson,
 		  took_us, now_us);
 	log_served(serving, &judgement, answer, took_us);
+	count_times(serving,
+		    call_outcome_name(end_of(&judgement.outcome),
+				      answer->status),
+		    took_us);
 	if (judgement.answered)
 		kept = upstream_keep(server->options.names, answer,
 				     !strcmp(serving->method, "HEAD"), took_us,
--- a/src/membership/gossip.c
+++ b/src/membership/gossip.c
@@ -19,8 +19,8 @@
 	"Bytes of datagrams received, those refused included");
 COUNTER(unsealed, "membership.datagrams_unsealed",
 	"Datagrams dropped because their seal was not of this deployment");
-COUNTER(records, "membership.records", "Records held, the own one included");
-COUNTER(live, "membership.live",
+GAUGE(records, "membership.records", "Records held, the own one included");
+GAUGE(live, "membership.live",
 	"Nodes of the own data centre that can be reached, this one included");
 
 /* The array's head takes one byte, as a datagram has fewer than 16 fields;
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -22,7 +22,7 @@
 	ANNOUNCE_BODY_MAX_BYTES = 16 * 1024,
 	ANNOUNCE_CONNECTIONS = 64,
 	TURN_MAX_US = 1000 * US_PER_MS,
-	CONTROL_COUNT_MS = 1000,
+	METRICS_EVERY_MS = 1000,
 	/* Datagrams that tell of the end have to leave before the end. */
 	LAST_WORDS_MS = 100,
 	GIVE_BACK_MS = 1000,
@@ -306,13 +306,13 @@
 		node->stopped = true;
 }
 
-static void count_control(struct timer *timer, void *data)
+static void refresh_metrics(struct timer *timer, void *data)
 {
 	struct node *node = data;
 
-	node_count_control(node);
+	node_refresh_metrics(node);
 	timer_set(&node->loop, timer,
-		  loop_now_us(&node->loop) + CONTROL_COUNT_MS * US_PER_MS);
+		  loop_now_us(&node->loop) + METRICS_EVERY_MS * US_PER_MS);
 }
 
 static void close_upstream(struct node *node)
@@ -356,8 +356,8 @@
 	timer_init(&node->last_words, last_words_said, node);
 	timer_init(&node->linger, linger_over, node);
 	timer_init(&node->keep_upstream, keep_upstream_over, node);
-	timer_init(&node->control_timer, count_control, node);
-	count_control(&node->control_timer, node);
+	timer_init(&node->metrics_timer, refresh_metrics, node);
+	refresh_metrics(&node->metrics_timer, node);
 	watch_signals(node);
 	return true;
 }
@@ -409,7 +409,7 @@
 
 static void stop(struct node *node)
 {
-	timer_cancel(&node->loop, &node->control_timer);
+	timer_cancel(&node->loop, &node->metrics_timer);
 	timer_cancel(&node->loop, &node->last_words);
 	timer_cancel(&node->loop, &node->linger);
 	timer_cancel(&node->loop, &node->keep_upstream);
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -71,7 +71,7 @@
 	int64_t started_us;
 	int64_t find_at_us;
 	int64_t find_wait_ms;
-	struct timer control_timer;
+	struct timer metrics_timer;
 	struct timer last_words;
 	struct timer linger;
 	struct timer keep_upstream;
@@ -120,7 +120,7 @@
 /** node_views_init() - status, sections and checks for operators. */
 void node_views_init(struct node *node);
 
-/** node_count_control() - bring the counters of control bytes up to date. */
-void node_count_control(struct node *node);
+/** node_refresh_metrics() - bring what is not counted as it happens up to date. */
+void node_refresh_metrics(struct node *node);
 
 #endif
--- a/src/node/ready.c
+++ b/src/node/ready.c
@@ -49,8 +49,12 @@
 
 void node_metrics_handle(struct http_exchange *exchange, void *data)
 {
-	if (strcmp(http_exchange_path(exchange), PLATFORM_METRICS_PATH))
+	struct node *node = data;
+
+	if (strcmp(http_exchange_path(exchange), PLATFORM_METRICS_PATH)) {
 		http_exchange_reply(exchange, STATUS_NOT_FOUND, NULL, 0, "", 0);
-	else
-		view_metrics(exchange);
+		return;
+	}
+	node_refresh_metrics(node);
+	view_metrics(exchange);
 }
--- a/src/node/views.c
+++ b/src/node/views.c
@@ -17,12 +17,23 @@
 COUNTER(control_received, "control.received_bytes",
 	"Bytes received that keep members and versions current");
 
+GAUGE(gate_limit_gauge, "gate.limit",
+      "Requests that the own upstream may run at once now");
+GAUGE(gate_running, "gate.running", "Requests that it runs");
+GAUGE(gate_waiting, "gate.waiting", "Requests that wait for it");
+GAUGE(retry_tokens, "call.retry_tokens",
+      "Retries that this node may make at once, of all services together");
+GAUGE(platform_age, "platform.last_answer_age_ms",
+      "Milliseconds since the platform's service answered; -1 for never");
+GAUGE(platform_failures, "platform.failures_in_row",
+      "Calls of it that failed since its last answer");
+
 static bool is_control(int type)
 {
 	return type < FRAME_RANGE_CALL;
 }
 
-void node_count_control(struct node *node)
+static void count_control(const struct node *node)
 {
 	int64_t sent = (int64_t)node->gossip.traffic.sent_bytes;
 	int64_t received = (int64_t)node->gossip.traffic.received_bytes;
@@ -38,6 +49,47 @@
 	counter_set(&control_received, received);
 }
 
+static void refresh_gate(const struct node *node)
+{
+	const struct gate *gate = &node->gate;
+
+	counter_set(&gate_limit_gauge,
+		    gate_limit(gate, loop_now_us(&node->loop)));
+	counter_set(&gate_running, gate->running_count);
+	counter_set(&gate_waiting, gate->waiting_count);
+}
+
+static void refresh_tokens(const struct node *node)
+{
+	const struct pool *pool;
+	double tokens = 0;
+
+	for (pool = node->router.pools; pool; pool = pool->by_service.next)
+		tokens += pool->budget.tokens;
+	counter_set(&retry_tokens, (int64_t)tokens);
+}
+
+static void refresh_platform(const struct node *node)
+{
+	int64_t age_ms = -1;
+
+	if (!node->has_source)
+		return;
+	if (node->store.last_ok_us)
+		age_ms = (loop_now_us(&node->loop) - node->store.last_ok_us) /
+			 US_PER_MS;
+	counter_set(&platform_age, age_ms);
+	counter_set(&platform_failures, node->store.failures_in_row);
+}
+
+void node_refresh_metrics(struct node *node)
+{
+	count_control(node);
+	refresh_gate(node);
+	refresh_tokens(node);
+	refresh_platform(node);
+}
+
 static void name_chain(const struct config *config, char text[CHAIN_TEXT_SIZE])
 {
 	uint32_t i;
@@ -150,7 +202,7 @@
 	struct node *node = data;
 	const struct config *config = keeper_config(&node->keeper);
 
-	node_count_control(node);
+	node_refresh_metrics(node);
 	return json_pack("{s:I,s:I,s:i,s:i,s:I,s:b,s:b,s:i}",
 			 "control_sent_bytes", (json_int_t)control_sent.value,
 			 "control_received_bytes",
--- /dev/null
+++ b/src/operator/metrics.c
@@ -0,0 +1,153 @@
+#include "operator/metrics.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/latency.h"
+
+enum { NAME_SIZE = 96, LINE_SIZE = 512, LABEL_SIZE = 160 };
+
+#define US_PER_S 1e6
+
+static const struct {
+	const char *name;
+	const char *help;
+} parts[LATENCY_PARTS] = {
+	[LATENCY_TOTAL] = { "call_seconds",
+			    "Time from a caller's request to its answer" },
+	[LATENCY_ADDED] = { "call_added_seconds",
+			    "Of that, what the upstream did not take" },
+	[LATENCY_QUEUE] = { "gate_queue_seconds",
+			    "Time that requests waited for the own upstream" },
+	[LATENCY_UPSTREAM] = { "upstream_seconds",
+			       "Time that the own upstream took" },
+};
+
+static const double quantiles[] = { 0.5, 0.9, 0.99, 1 };
+
+static void put(struct buffer *out, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+static void put(struct buffer *out, const char *fmt, ...)
+{
+	char line[LINE_SIZE];
+	va_list args;
+	int size;
+
+	va_start(args, fmt);
+	size = vsnprintf(line, sizeof(line), fmt, args);
+	va_end(args);
+	if (size > 0 && (size_t)size < sizeof(line))
+		buffer_append(out, line, (size_t)size);
+}
+
+/* Collectors allow letters, digits and underscores in names. */
+static const char *metric_name(const char *name, char text[NAME_SIZE])
+{
+	char *at;
+
+	snprintf(text, NAME_SIZE, "geraniumplank_%s", name);
+	for (at = text; *at; at++)
+		if (*at == '.' || *at == '-')
+			*at = '_';
+	return text;
+}
+
+/* A quote or backslash in a service's name must not end the label. */
+static const char *label(const char *value, char text[LABEL_SIZE])
+{
+	size_t used = 0;
+
+	for (; *value && used + 3 < LABEL_SIZE; value++) {
+		if (*value == '"' || *value == '\\')
+			text[used++] = '\\';
+		text[used++] = *value == '\n' ? ' ' : *value;
+	}
+	text[used] = '\0';
+	return text;
+}
+
+static void put_head(struct buffer *out, const char *name, const char *help,
+		     const char *type)
+{
+	put(out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name, type);
+}
+
+static void put_counter(struct buffer *out, const struct counter *counter)
+{
+	char name[NAME_SIZE];
+
+	metric_name(counter->name, name);
+	put_head(out, name, counter->help,
+		 counter->gauge ? "gauge" : "counter");
+	put(out, "%s %lld\n", name, (long long)counter->value);
+}
+
+static void put_summary(struct buffer *out, const struct histogram *histogram)
+{
+	char name[NAME_SIZE];
+	size_t i;
+
+	metric_name(histogram->name, name);
+	put_head(out, name, histogram->help, "summary");
+	for (i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
+		put(out, "%s{quantile=\"%g\"} %lld\n", name, quantiles[i],
+		    (long long)histogram_quantile(histogram, quantiles[i]));
+	put(out, "%s_count %llu\n", name, (unsigned long long)histogram->count);
+}
+
+static void put_latency(struct buffer *out, const char *name,
+			const struct latency *latency)
+{
+	char service[LABEL_SIZE];
+	char outcome[LABEL_SIZE];
+	char labels[LABEL_SIZE * 2 + 32];
+	uint64_t sum = 0;
+	uint32_t i;
+
+	snprintf(labels, sizeof(labels), "service=\"%s\",outcome=\"%s\"",
+		 label(latency->service, service),
+		 label(latency->outcome, outcome));
+	for (i = 0; i < LATENCY_BOUNDS; i++) {
+		sum += latency->counts[i];
+		put(out, "%s_bucket{%s,le=\"%g\"} %llu\n", name, labels,
+		    (double)latency_bounds_us[i] / US_PER_S,
+		    (unsigned long long)sum);
+	}
+	put(out, "%s_bucket{%s,le=\"+Inf\"} %llu\n", name, labels,
+	    (unsigned long long)latency->count);
+	put(out, "%s_sum{%s} %.6f\n", name, labels,
+	    (double)latency->sum_us / US_PER_S);
+	put(out, "%s_count{%s} %llu\n", name, labels,
+	    (unsigned long long)latency->count);
+}
+
+/* Lines of one metric must stand together. */
+static void put_part(struct buffer *out, enum latency_part part)
+{
+	const struct latency *latency;
+	char name[NAME_SIZE];
+
+	metric_name(parts[part].name, name);
+	put_head(out, name, parts[part].help, "histogram");
+	for (latency = latency_first(); latency; latency = latency->next)
+		if (latency->part == part)
+			put_latency(out, name, latency);
+}
+
+void metrics_write(struct buffer *out)
+{
+	const struct histogram *histogram;
+	const struct counter *counter;
+	int part;
+
+	for (counter = counter_first(); counter; counter = counter->next)
+		put_counter(out, counter);
+	for (histogram = histogram_first(); histogram;
+	     histogram = histogram->next)
+		put_summary(out, histogram);
+	for (part = 0; part < LATENCY_PARTS; part++)
+		put_part(out, (enum latency_part)part);
+}
--- a/src/operator/views.c
+++ b/src/operator/views.c
@@ -6,10 +6,9 @@
 
 #include "base/buffer.h"
 #include "base/counter.h"
+#include "operator/metrics.h"
 #include "operator/reply.h"
 
-enum { METRIC_NAME_SIZE = 96, METRIC_LINE_SIZE = 512 };
-
 static const struct {
 	const char *name;
 	double share;
@@ -20,7 +19,10 @@
 	{ "max", 1 },
 };
 
-enum { QUANTILE_COUNT = sizeof(quantiles) / sizeof(quantiles[0]) };
+enum {
+	QUANTILE_COUNT = sizeof(quantiles) / sizeof(quantiles[0]),
+	SECTIONS_TEXT_SIZE = 1024,
+};
 
 void view_status(struct operator_server *server, struct http_exchange *exchange)
 {
@@ -78,7 +80,7 @@
 static void reply_unknown_section(const struct operator_server *server,
 				  struct http_exchange *exchange)
 {
-	char text[METRIC_LINE_SIZE * 2];
+	char text[SECTIONS_TEXT_SIZE];
 	size_t used = (size_t)snprintf(text, sizeof(text),
 				       "no such section; there are:");
 	uint32_t i;
@@ -158,69 +160,11 @@
 	reply_json(exchange, HTTP_OK, json);
 }
 
-/* Collectors allow letters, digits and underscores in names. */
-static const char *metric_name(const char *name, char text[METRIC_NAME_SIZE])
-{
-	char *at;
-
-	snprintf(text, METRIC_NAME_SIZE, "geraniumplank_%s", name);
-	for (at = text; *at; at++)
-		if (*at == '.' || *at == '-')
-			*at = '_';
-	return text;
-}
-
-static void append_line(struct buffer *buffer, const char *line)
-{
-	buffer_append(buffer, line, strlen(line));
-}
-
-static void append_counter(struct buffer *buffer, const struct counter *counter)
-{
-	char name[METRIC_NAME_SIZE];
-	char line[METRIC_LINE_SIZE];
-
-	metric_name(counter->name, name);
-	snprintf(line, sizeof(line),
-		 "# HELP %s %s\n# TYPE %s untyped\n%s %lld\n", name,
-		 counter->help, name, name, (long long)counter->value);
-	append_line(buffer, line);
-}
-
-static void append_histogram(struct buffer *buffer,
-			     const struct histogram *histogram)
-{
-	char name[METRIC_NAME_SIZE];
-	char line[METRIC_LINE_SIZE];
-	size_t i;
-
-	metric_name(histogram->name, name);
-	snprintf(line, sizeof(line), "# HELP %s %s\n# TYPE %s summary\n", name,
-		 histogram->help, name);
-	append_line(buffer, line);
-	for (i = 0; i < QUANTILE_COUNT; i++) {
-		snprintf(line, sizeof(line), "%s{quantile=\"%g\"} %lld\n", name,
-			 quantiles[i].share,
-			 (long long)histogram_quantile(histogram,
-						       quantiles[i].share));
-		append_line(buffer, line);
-	}
-	snprintf(line, sizeof(line), "%s_count %llu\n", name,
-		 (unsigned long long)histogram->count);
-	append_line(buffer, line);
-}
-
 void view_metrics(struct http_exchange *exchange)
 {
-	const struct histogram *histogram;
-	const struct counter *counter;
 	struct buffer buffer = { 0 };
 
-	for (counter = counter_first(); counter; counter = counter->next)
-		append_counter(&buffer, counter);
-	for (histogram = histogram_first(); histogram;
-	     histogram = histogram->next)
-		append_histogram(&buffer, histogram);
+	metrics_write(&buffer);
 	reply_text(exchange, (const char *)buffer_data(&buffer),
 		   buffer_size(&buffer));
 	buffer_finish(&buffer);
--- a/src/profile/keeper.c
+++ b/src/profile/keeper.c
@@ -27,7 +27,7 @@
 	"Heads whose history is not the one in force here");
 COUNTER(unwanted_count, "config.bodies_unwanted",
 	"Bodies that came without being missing, or with a wrong hash");
-COUNTER(version_gauge, "config.version", "The version in force");
+GAUGE(version_gauge, "config.version", "The version in force");
 
 /* A text by its hash; @bytes is NULL while it is missing. @profile is what it
  * says, under the first name that has it, once parsed; NULL if it is invalid
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -15,7 +15,7 @@
 	MEMBERS_DEADLINE_MS = 3000,
 };
 
-COUNTER(holds_gauge, "reader.holds", "1 while this process is a reader");
+GAUGE(holds_gauge, "reader.holds", "1 while this process is a reader");
 COUNTER(heads_count, "reader.heads", "Heads read from the platform's service");
 COUNTER(bad_count, "reader.bad_bodies",
 	"Bodies from the platform's service with a wrong content");
--- a/test/functional/docs_test.c
+++ b/test/functional/docs_test.c
@@ -110,6 +110,7 @@
 static void expect_counters(const char *text, const char *path)
 {
 	scan(text, path, "COUNTER", 1, "counter", "`");
+	scan(text, path, "GAUGE", 1, "gauge", "`");
 	scan(text, path, "HISTOGRAM", 1, "histogram", "`");
 }
 
--- /dev/null
+++ b/test/functional/watching_test.c
@@ -0,0 +1,147 @@
+#include <criterion/criterion.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <limits.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "functional/background.h"
+#include "functional/profile.h"
+
+/**
+ * DOC: watching
+ *
+ * What those who watch a deployment get: metrics that their tools read, and
+ * logs that never hold a node up.
+ */
+
+enum {
+	WAIT_MS = BACKGROUND_WAIT_MS,
+	NODES = 2,
+	CALLS = 40,
+	PATH_SIZE = 320,
+	/* A pipe holds 64 kB, a call writes about half of one. */
+	MANY_CALLS = 400,
+};
+
+static struct cluster cluster;
+
+static void start(void)
+{
+	const struct cluster_options options = {
+		.centres = 1,
+		.nodes = NODES,
+		.services = { "alpha", "beta" },
+		.profile = "default",
+		/* Every line, or the pipe would not fill. */
+		.settings = "[log]\nrequests_per_s = 0\nrate_per_s = 0\n",
+	};
+
+	cr_assert(cluster_start(&cluster, &options));
+	cr_assert(cluster_wait_members(&cluster, NODES, WAIT_MS));
+	cr_assert_eq(cluster_accept(&cluster, 0, "default", functional_profile),
+		     1);
+	cr_assert(cluster_wait_version(&cluster, -1, 1, WAIT_MS));
+	cr_assert(cluster_wait_routes(&cluster, WAIT_MS));
+	cr_assert(call_wait_status(&cluster, 1, "beta", 200));
+}
+
+static void stop(void)
+{
+	cluster_stop(&cluster);
+}
+
+static void call_often(uint32_t node, const char *service, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		struct fetch fetch;
+
+		cr_assert_eq(call_once(&cluster, node, service, &fetch), 200,
+			     "call %d", i);
+		fetch_finish(&fetch);
+	}
+}
+
+/* The text that a collector would get, as a file. */
+static void save_metrics(uint32_t node, char path[PATH_SIZE])
+{
+	struct fetch fetch = { .method = "GET" };
+	FILE *file;
+
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s/v1/metrics",
+		 cluster.nodes[node].operator_address);
+	cr_assert(fetch_run(&fetch));
+	cr_assert_eq(fetch.status, 200);
+	snprintf(path, PATH_SIZE, "%s/metrics", cluster.dir);
+	file = fopen(path, "we");
+	cr_assert_not_null(file);
+	fwrite(fetch.answer, 1, fetch.answer_size, file);
+	cr_assert_eq(fclose(file), 0);
+	fetch_finish(&fetch);
+}
+
+/*
+ * Symptom: the on-call engineers' dashboards are empty, or add wrongly.
+ * Sequence: calls are made; a collector reads the metrics.
+ * Cause: a text that people can read and collectors cannot.
+ */
+Test(watching, a_client_library_reads_the_metrics, .init = start, .fini = stop,
+     .timeout = 120)
+{
+	char path[PATH_SIZE];
+	char command[PATH_SIZE * 2];
+
+	call_often(0, "beta", CALLS);
+	save_metrics(0, path);
+	snprintf(command, sizeof(command),
+		 "/usr/bin/python3 test/functional/read_metrics.py "
+		 "%s beta %d",
+		 path, CALLS);
+	cr_expect_eq(system(command), 0, "%s", command);
+}
+
+/* Node @i again, its log a pipe that nobody reads but for the first line. */
+static void log_to_a_pipe(uint32_t i)
+{
+	struct process *process = &cluster.nodes[i].process;
+
+	process_kill(process);
+	cr_assert_eq(unlink(process->log_path), 0);
+	cr_assert_eq(mkfifo(process->log_path, 0600), 0);
+	cr_assert(cluster_start_node(&cluster, i));
+}
+
+/* Whether a writer that waits would wait now. */
+static bool is_full(const char *path)
+{
+	static const char block[PIPE_BUF];
+	int fd = open(path, O_WRONLY | O_NONBLOCK | O_CLOEXEC);
+	bool full;
+
+	cr_assert_geq(fd, 0);
+	full = write(fd, block, sizeof(block)) < 0 && errno == EAGAIN;
+	close(fd);
+	return full;
+}
+
+/*
+ * Symptom: a node stops answering, and its log ends in the middle of nothing.
+ * Sequence: whoever reads its log stops reading; the pipe fills.
+ * Cause: a write to a full pipe waits, and the node with it.
+ */
+Test(watching, a_log_that_nobody_reads_holds_no_call_up, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	log_to_a_pipe(0);
+	cr_assert(cluster_wait_members(&cluster, NODES, WAIT_MS));
+	cr_assert(call_wait_status(&cluster, 0, "beta", 200));
+	call_often(0, "beta", MANY_CALLS);
+	cr_assert(is_full(cluster.nodes[0].process.log_path));
+	call_often(0, "beta", CALLS);
+}
