log: what became of a request is not displaced by its attempts

Ruled out: a full buffer and a killed process (its other lines go on).

Change: lines about requests have one of three weights, each with its own rate: ordinary, attempt, outcome.

Test: attempts_do_not_displace_outcomes, which fails where both share a rate.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -41,7 +41,7 @@
 struct log_state {
 	struct log_options options;
 	struct rate_slot rates[RATE_SLOTS];
-	struct rate_slot requests[2];
+	struct rate_slot requests[LOG_WEIGHTS];
 	char bytes[BUFFER_SIZE];
 	size_t start;
 	size_t size;
@@ -293,7 +293,7 @@
 	store(&now, &line, false);
 }
 
-void log_request(bool ordinary, const char *slice, const char *event,
+void log_request(enum log_weight weight, const char *slice, const char *event,
 		 const struct log_field *fields, size_t count)
 {
 	struct timespec now;
@@ -303,14 +303,13 @@
 	if (LOG_INFO < state.options.level)
 		return;
 	clock_gettime(CLOCK_REALTIME, &now);
-	if (!rate_allows(&state.requests[ordinary],
-			 state.options.requests_per_s, now.tv_sec,
-			 &suppressed)) {
+	if (!rate_allows(&state.requests[weight], state.options.requests_per_s,
+			 now.tv_sec, &suppressed)) {
 		state.left_out++;
 		state.left_out_total++;
 		return;
 	}
 	add_head(&line, &now, LOG_INFO, slice, event);
 	add_fields(&line, fields, count);
-	store(&now, &line, ordinary);
+	store(&now, &line, weight == LOG_ORDINARY);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -47,8 +47,8 @@
  * @fd: descriptor; 0 for standard output
  * @buffered: lines wait for log_flush(); else each is written at once
  * @rate_per_s: lines a second of one slice and event; 0 for no limit
- * @requests_per_s: lines a second about requests that went well, and as many
- *	again about all others; 0 for no limit
+ * @requests_per_s: lines a second about requests, of each weight; 0 for no
+ *	limit
  */
 struct log_options {
 	int fd;
@@ -79,10 +79,21 @@
 	       const struct log_field *fields, size_t count);
 
 /**
- * log_request() - a line about one request
- * @ordinary: nothing about it needs an explanation
+ * enum log_weight - what a line about a request is worth
+ *
+ * Each has a rate of its own: under overload a request that fails leaves ten
+ * lines about attempts that were turned away, and its last line, which alone
+ * says what became of it, must not be the one that is left out.
  */
-void log_request(bool ordinary, const char *slice, const char *event,
+enum log_weight {
+	LOG_ORDINARY, /* nothing about it needs an explanation */
+	LOG_ATTEMPT,  /* an attempt that failed or was refused */
+	LOG_OUTCOME,  /* the end of a request that failed or was slow */
+	LOG_WEIGHTS,
+};
+
+/** log_request() - a line about one request. */
+void log_request(enum log_weight weight, const char *slice, const char *event,
 		 const struct log_field *fields, size_t count);
 
 #define LOG_EVENT(level, slice, event, ...)                                    \
--- a/src/base/log_test.c
+++ b/src/base/log_test.c
@@ -176,8 +176,8 @@
 
 	log_into_pipe(0, true);
 	for (i = 0; i < MANY; i++)
-		log_request(i % 100 != 0, "call", i % 100 ? "fine" : "failed",
-			    NULL, 0);
+		log_request(i % 100 ? LOG_ORDINARY : LOG_OUTCOME, "call",
+			    i % 100 ? "fine" : "failed", NULL, 0);
 	cr_expect_gt(log_left_out(), 0);
 	for (i = 0; i < MANY; i++) {
 		log_flush(true);
@@ -186,7 +186,7 @@
 		ordinary += count_lines(text, "\"fine\"");
 		failed += count_lines(text, "\"failed\"");
 	}
-	log_request(true, "call", "after", NULL, 0);
+	log_request(LOG_ORDINARY, "call", "after", NULL, 0);
 	log_flush(true);
 	while (next_write(text) > 0)
 		told += count_lines(text, "\"lines_left_out\"");
@@ -209,10 +209,38 @@
 	options.fd = ends[1];
 	log_init(&options);
 	for (i = 0; i < 50; i++)
-		log_request(i % 2, "call", i % 2 ? "fine" : "failed", NULL, 0);
+		log_request(i % 2 ? LOG_ORDINARY : LOG_OUTCOME, "call",
+			    i % 2 ? "fine" : "failed", NULL, 0);
 	log_flush(true);
 	cr_assert_gt(next_write(text), 0);
 	cr_expect_leq(count_lines(text, "\"fine\""), 10);
 	cr_expect_geq(count_lines(text, "\"failed\""), 5);
 	cr_expect_geq(log_left_out(), 30);
 }
+
+/*
+ * Symptom: the last line of a failed request is missing, though hundreds about
+ * its attempts are there.
+ * Sequence: an overload; each request is turned away by several upstreams.
+ * Cause: one rate for all lines about what did not go well.
+ */
+Test(log, attempts_do_not_displace_outcomes)
+{
+	struct log_options options = { .level = LOG_INFO,
+				       .buffered = true,
+				       .requests_per_s = 5 };
+	static char text[READ_SIZE];
+	int ends[2];
+	int i;
+
+	cr_assert_eq(pipe2(ends, O_NONBLOCK), 0);
+	reader = ends[0];
+	options.fd = ends[1];
+	log_init(&options);
+	for (i = 0; i < 50; i++)
+		log_request(LOG_ATTEMPT, "call", "turned_away", NULL, 0);
+	log_request(LOG_OUTCOME, "call", "failed", NULL, 0);
+	log_flush(true);
+	cr_assert_gt(next_write(text), 0);
+	cr_expect_eq(count_lines(text, "\"failed\""), 1);
+}
--- a/src/call/call.c
+++ b/src/call/call.c
@@ -54,7 +54,7 @@
 		LOG_TEXT("text", text),
 	};
 
-	log_request(false, slice, "call", fields,
+	log_request(LOG_OUTCOME, slice, "call", fields,
 		    sizeof(fields) / sizeof(fields[0]));
 }
 
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -270,8 +270,8 @@
 		LOG_NUMBER("upstreams", call->match.pool->count),
 	};
 
-	log_request(is_ordinary(call, status), slice, "call", fields,
-		    sizeof(fields) / sizeof(fields[0]));
+	log_request(is_ordinary(call, status) ? LOG_ORDINARY : LOG_OUTCOME,
+		    slice, "call", fields, sizeof(fields) / sizeof(fields[0]));
 	count_time(call, call_outcome_name(end, status),
 		   now_us - call->started_us);
 }
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -131,6 +131,7 @@
 {
 	const struct server *server = serving->server;
 	const struct gate_request *gate = &serving->gate;
+	bool well = judgement->answered && answer->status < STATUS_SERVER_ERROR;
 	const struct log_field fields[] = {
 		LOG_TEXT("request", serving->terms.request_id),
 		LOG_TEXT("from", serving->peer ? link_name(&serving->peer->link)
@@ -152,8 +153,7 @@
 			   gate_limit(server->options.gate, now(server))),
 	};
 
-	log_request(judgement->answered && answer->status < STATUS_SERVER_ERROR,
-		    slice, "served", fields,
+	log_request(well ? LOG_ORDINARY : LOG_ATTEMPT, slice, "served", fields,
 		    sizeof(fields) / sizeof(fields[0]));
 }
 
@@ -178,7 +178,7 @@
 				   US_PER_MS),
 	};
 
-	log_request(false, slice, "turned_away", fields,
+	log_request(LOG_ATTEMPT, slice, "turned_away", fields,
 		    sizeof(fields) / sizeof(fields[0]));
 }
 
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -88,8 +88,8 @@
 	NUMBER(log.rate_per_s, "rate_per_s", 0, 1000000, "20",
 	       "Lines of one event; more are counted; 0 for no limit"),
 	NUMBER(log.requests_per_s, "requests_per_s", 0, 1000000, "200",
-	       "Lines about requests that went well, and as many about all "
-	       "others; 0 for no limit"),
+	       "Lines about requests that went well, as many about attempts "
+	       "that did not, and as many about requests; 0 for no limit"),
 };
 
 static const struct schema_field membership_fields[] = {
