node: a settings file that changes without a signal is noticed

Once a second the file's time, size and inode are looked at (one system call); a changed one is read as on SIGHUP: seeds are taken over, a fault is told and changes nothing, no call is cut (functional test with both).

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -358,6 +358,7 @@
 	timer_init(&node->keep_upstream, keep_upstream_over, node);
 	timer_init(&node->metrics_timer, refresh_metrics, node);
 	refresh_metrics(&node->metrics_timer, node);
+	node_reload_start(node);
 	watch_signals(node);
 	return true;
 }
@@ -410,6 +411,7 @@
 static void stop(struct node *node)
 {
 	timer_cancel(&node->loop, &node->metrics_timer);
+	node_reload_finish(node);
 	timer_cancel(&node->loop, &node->last_words);
 	timer_cancel(&node->loop, &node->linger);
 	timer_cancel(&node->loop, &node->keep_upstream);
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -11,12 +11,13 @@
 #include "node/lookup.h"
 #include "node/settings.h"
 #include "operator/server.h"
-#include "store/store.h"
+#include "os/file.h"
 #include "profile/editor.h"
 #include "profile/keeper.h"
 #include "profile/reader.h"
 #include "route/route.h"
 #include "spread/spread_net.h"
+#include "store/store.h"
 #include "wire/hub.h"
 
 enum {
@@ -72,6 +73,8 @@
 	int64_t find_at_us;
 	int64_t find_wait_ms;
 	struct timer metrics_timer;
+	struct timer settings_timer;
+	struct file_stamp settings_stamp; /* of the file as read last */
 	struct timer last_words;
 	struct timer linger;
 	struct timer keep_upstream;
@@ -114,13 +117,18 @@
 /** node_reload() - read the settings file again; a bad one changes nothing. */
 void node_reload(struct node *node);
 
+/** node_reload_start() - from now on notice when the file changes. */
+void node_reload_start(struct node *node);
+void node_reload_finish(struct node *node);
+
 /** node_seed() - an unpredictable seed. */
 uint64_t node_seed(void);
 
 /** node_views_init() - status, sections and checks for operators. */
 void node_views_init(struct node *node);
 
-/** node_refresh_metrics() - bring what is not counted as it happens up to date. */
+/** node_refresh_metrics() - bring what is not counted as it happens up to date.
+ */
 void node_refresh_metrics(struct node *node);
 
 #endif
--- a/src/node/reload.c
+++ b/src/node/reload.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "node/node_defs.h"
+#include "os/clock.h"
 
 /**
  * DOC: reload
@@ -9,9 +10,16 @@
  * The settings file has changed while the process runs. Seeds are taken over
  * at once; everything else is fixed at the start, because addresses and
  * limits that change under calls in progress would cut them. A file with any
- * fault changes nothing.
+ * fault changes nothing. Whoever writes the file may send SIGHUP; those who
+ * do not, as systems that only put files in place, are noticed by a look at
+ * the file's time and size.
  */
 
+enum {
+	/* A look costs one system call. */
+	LOOK_EVERY_MS = 1000,
+};
+
 static const char slice[] = "node";
 
 static void take_seeds(struct node *node, const struct settings_peers *peers)
@@ -30,6 +38,7 @@
 
 	if (!faults || !settings)
 		abort();
+	file_stamp_read(node->settings_path, &node->settings_stamp);
 	if (!settings_load(settings, node->settings_path, faults, &err)) {
 		log_error(slice, "reload_refused",
 			  LOG_TEXT("reason", err.text));
@@ -41,3 +50,29 @@
 	free(settings);
 	free(faults);
 }
+
+static void look(struct timer *timer, void *data)
+{
+	struct node *node = data;
+	struct file_stamp stamp;
+
+	/* A file that is gone for a moment is being replaced. */
+	if (file_stamp_read(node->settings_path, &stamp) &&
+	    !file_stamp_equal(&stamp, &node->settings_stamp))
+		node_reload(node);
+	timer_set(&node->loop, timer,
+		  loop_now_us(&node->loop) + LOOK_EVERY_MS * US_PER_MS);
+}
+
+void node_reload_start(struct node *node)
+{
+	file_stamp_read(node->settings_path, &node->settings_stamp);
+	timer_init(&node->settings_timer, look, node);
+	timer_set(&node->loop, &node->settings_timer,
+		  loop_now_us(&node->loop) + LOOK_EVERY_MS * US_PER_MS);
+}
+
+void node_reload_finish(struct node *node)
+{
+	timer_cancel(&node->loop, &node->settings_timer);
+}
--- a/test/functional/watching_test.c
+++ b/test/functional/watching_test.c
@@ -11,6 +11,7 @@
 
 #include "functional/background.h"
 #include "functional/profile.h"
+#include "os/clock.h"
 
 /**
  * DOC: watching
@@ -24,6 +25,8 @@
 	NODES = 2,
 	CALLS = 40,
 	PATH_SIZE = 320,
+	LINE_SIZE = 8192,
+	POLL_MS = 20,
 	/* A pipe holds 64 kB, a call writes about half of one. */
 	MANY_CALLS = 400,
 };
@@ -145,3 +148,57 @@
 	cr_assert(is_full(cluster.nodes[0].process.log_path));
 	call_often(0, "beta", CALLS);
 }
+
+static int count_lines(const char *path, const char *text)
+{
+	FILE *file = fopen(path, "re");
+	static char line[LINE_SIZE];
+	int count = 0;
+
+	cr_assert_not_null(file);
+	while (fgets(line, sizeof(line), file))
+		count += strstr(line, text) != NULL;
+	fclose(file);
+	return count;
+}
+
+static bool log_tells(uint32_t node, const char *text, int times)
+{
+	const char *path = cluster.nodes[node].process.log_path;
+	int64_t until_us = clock_monotonic_us() + WAIT_MS * US_PER_MS;
+
+	while (clock_monotonic_us() < until_us) {
+		if (count_lines(path, text) == times)
+			return true;
+		pause_ms(POLL_MS);
+	}
+	return false;
+}
+
+static void append_to_settings(uint32_t node, const char *text)
+{
+	FILE *file = fopen(cluster.nodes[node].settings_path, "ae");
+
+	cr_assert_not_null(file);
+	fputs(text, file);
+	cr_assert_eq(fclose(file), 0);
+}
+
+/*
+ * Symptom: settings that were changed in place are not in force, and nobody
+ * is told; or a node ends because of them.
+ * Sequence: the file is written without a signal, well, then with a fault.
+ * Cause: a node that reads its settings on SIGHUP only.
+ */
+Test(watching, settings_that_change_silently_are_noticed, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	append_to_settings(0, "# a remark\n");
+	cr_assert(log_tells(0, "\"event\":\"reloaded\"", 1));
+	append_to_settings(0, "[no_such_table]\n");
+	cr_assert(log_tells(0, "\"event\":\"reload_refused\"", 1));
+	cr_expect_eq(count_lines(cluster.nodes[0].process.log_path,
+				 "\"event\":\"reloaded\""),
+		     1);
+	call_often(0, "beta", CALLS);
+}
