--- a/src/call/path_test.h
+++ b/src/call/path_test.h
@@ -127,6 +127,14 @@
 
 extern struct path path;
 
+/* path_upstream_test.c */
+void fake_upstream_start(struct fake_upstream *upstream);
+void fake_upstream_stop(struct fake_upstream *upstream);
+
+/* path_relay_test.c */
+void relay_start(struct relay *relay);
+void relay_stop(struct relay *relay);
+
 /* Criterion's init and fini: everything up, a knows b's upstream. */
 void path_setup(void);
 void path_teardown(void);
