--- a/src/base/base_test.c
+++ b/src/base/base_test.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/buffer.h"
 #include "base/address.h"
 #include "base/counter.h"
 #include "base/error.h"
@@ -169,3 +170,21 @@
 	cr_assert_eq(line, 2);
 	cr_assert_eq(err.code, ERROR_INVALID);
 }
+
+/* A line that is longer than usual must not be cut or left out. */
+Test(buffer, formatted_text_is_appended_whole)
+{
+	static const int widths[] = { 0, 1, 100, 5000 };
+	size_t i;
+
+	for (i = 0; i < sizeof(widths) / sizeof(widths[0]); i++) {
+		struct buffer buffer = { 0 };
+
+		buffer_text(&buffer, "<");
+		buffer_format(&buffer, "%*s%d>", widths[i], "", 7);
+		cr_expect_eq(buffer_size(&buffer), (size_t)widths[i] + 3);
+		cr_expect_eq(buffer_data(&buffer)[0], '<');
+		cr_expect_eq(buffer_data(&buffer)[widths[i] + 2], '>');
+		buffer_finish(&buffer);
+	}
+}
--- a/src/base/buffer.c
+++ b/src/base/buffer.c
@@ -1,6 +1,8 @@
 #include "base/buffer.h"
 
 #include <assert.h>
+#include <stdarg.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -51,6 +53,29 @@
 	buffer_added(buffer, size);
 }
 
+void buffer_text(struct buffer *buffer, const char *text)
+{
+	buffer_append(buffer, text, strlen(text));
+}
+
+void buffer_format(struct buffer *buffer, const char *fmt, ...)
+{
+	va_list args;
+	va_list again;
+	int size;
+
+	va_start(args, fmt);
+	va_copy(again, args);
+	size = vsnprintf(NULL, 0, fmt, args);
+	assert(size >= 0);
+	/* One more byte for the terminator, which is not kept. */
+	vsnprintf((char *)buffer_reserve(buffer, (size_t)size + 1),
+		  (size_t)size + 1, fmt, again);
+	buffer_added(buffer, (size_t)size);
+	va_end(again);
+	va_end(args);
+}
+
 void buffer_consume(struct buffer *buffer, size_t size)
 {
 	buffer->start += size;
--- a/src/base/buffer.h
+++ b/src/base/buffer.h
@@ -38,6 +38,13 @@
 
 void buffer_append(struct buffer *buffer, const void *data, size_t size);
 
+/** buffer_text() - append a text without its terminator. */
+void buffer_text(struct buffer *buffer, const char *text);
+
+/** buffer_format() - append as printf() does, without a terminator. */
+void buffer_format(struct buffer *buffer, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
 /** buffer_consume() - forget the first @size bytes. */
 void buffer_consume(struct buffer *buffer, size_t size);
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -133,18 +133,12 @@
 	set_timer(transfer);
 }
 
-static void put_text(struct buffer *out, const char *text)
-{
-	assert(text);
-	buffer_append(out, text, strlen(text));
-}
-
 static void put_field(struct buffer *out, const char *name, const char *value)
 {
-	put_text(out, name);
-	put_text(out, ": ");
-	put_text(out, value);
-	put_text(out, "\r\n");
+	buffer_text(out, name);
+	buffer_text(out, ": ");
+	buffer_text(out, value);
+	buffer_text(out, "\r\n");
 }
 
 static const char *find_header(const struct http_request *request,
@@ -179,10 +173,10 @@
 	char length[LINE_SIZE];
 	size_t i;
 
-	put_text(out, request->method);
-	put_text(out, " ");
-	put_text(out, target);
-	put_text(out, " HTTP/1.1\r\n");
+	buffer_text(out, request->method);
+	buffer_text(out, " ");
+	buffer_text(out, target);
+	buffer_text(out, " HTTP/1.1\r\n");
 	if (!find_header(request, "Host"))
 		put_field(out, "Host", host);
 	for (i = 0; i < request->header_count; i++)
@@ -192,7 +186,7 @@
 		snprintf(length, sizeof(length), "%zu", request->body_size);
 		put_field(out, "Content-Length", length);
 	}
-	put_text(out, "\r\n");
+	buffer_text(out, "\r\n");
 	buffer_append(out, request->body, request->body_size);
 }
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -148,17 +148,12 @@
 	exchange->aborted_data = data;
 }
 
-static void put_text(struct buffer *out, const char *text)
-{
-	buffer_append(out, text, strlen(text));
-}
-
 static void put_field(struct buffer *out, const char *name, const char *value)
 {
-	put_text(out, name);
-	put_text(out, ": ");
-	put_text(out, value);
-	put_text(out, "\r\n");
+	buffer_text(out, name);
+	buffer_text(out, ": ");
+	buffer_text(out, value);
+	buffer_text(out, "\r\n");
 }
 
 static const char *status_text(unsigned int status)
@@ -225,7 +220,7 @@
 		exchange->last = true;
 	if (exchange->last)
 		put_field(out, "Connection", "close");
-	put_text(out, "\r\n");
+	buffer_text(out, "\r\n");
 }
 
 static void replied(struct http_exchange *exchange)
--- a/src/operator/metrics.c
+++ b/src/operator/metrics.c
@@ -1,13 +1,12 @@
 #include "operator/metrics.h"
 
-#include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "base/counter.h"
 #include "base/latency.h"
 
-enum { NAME_SIZE = 96, LINE_SIZE = 512, LABEL_SIZE = 160 };
+enum { NAME_SIZE = 96, LABEL_SIZE = 160 };
 
 #define US_PER_S 1e6
 
@@ -27,22 +26,6 @@
 
 static const double quantiles[] = { 0.5, 0.9, 0.99, 1 };
 
-static void put(struct buffer *out, const char *fmt, ...)
-	__attribute__((format(printf, 2, 3)));
-
-static void put(struct buffer *out, const char *fmt, ...)
-{
-	char line[LINE_SIZE];
-	va_list args;
-	int size;
-
-	va_start(args, fmt);
-	size = vsnprintf(line, sizeof(line), fmt, args);
-	va_end(args);
-	if (size > 0 && (size_t)size < sizeof(line))
-		buffer_append(out, line, (size_t)size);
-}
-
 /* Collectors allow letters, digits and underscores in names. */
 static const char *metric_name(const char *name, char text[NAME_SIZE])
 {
@@ -72,7 +55,8 @@
 static void put_head(struct buffer *out, const char *name, const char *help,
 		     const char *type)
 {
-	put(out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name, type);
+	buffer_format(out, "# HELP %s %s\n# TYPE %s %s\n", name, help, name,
+		      type);
 }
 
 static void put_counter(struct buffer *out, const struct counter *counter)
@@ -82,7 +66,7 @@
 	metric_name(counter->name, name);
 	put_head(out, name, counter->help,
 		 counter->gauge ? "gauge" : "counter");
-	put(out, "%s %lld\n", name, (long long)counter->value);
+	buffer_format(out, "%s %lld\n", name, (long long)counter->value);
 }
 
 static void put_summary(struct buffer *out, const struct histogram *histogram)
@@ -93,9 +77,11 @@
 	metric_name(histogram->name, name);
 	put_head(out, name, histogram->help, "summary");
 	for (i = 0; i < sizeof(quantiles) / sizeof(quantiles[0]); i++)
-		put(out, "%s{quantile=\"%g\"} %lld\n", name, quantiles[i],
-		    (long long)histogram_quantile(histogram, quantiles[i]));
-	put(out, "%s_count %llu\n", name, (unsigned long long)histogram->count);
+		buffer_format(
+			out, "%s{quantile=\"%g\"} %lld\n", name, quantiles[i],
+			(long long)histogram_quantile(histogram, quantiles[i]));
+	buffer_format(out, "%s_count %llu\n", name,
+		      (unsigned long long)histogram->count);
 }
 
 static void put_latency(struct buffer *out, const char *name,
@@ -112,16 +98,16 @@
 		 label(latency->outcome, outcome));
 	for (i = 0; i < LATENCY_BOUNDS; i++) {
 		sum += latency->counts[i];
-		put(out, "%s_bucket{%s,le=\"%g\"} %llu\n", name, labels,
-		    (double)latency_bounds_us[i] / US_PER_S,
-		    (unsigned long long)sum);
+		buffer_format(out, "%s_bucket{%s,le=\"%g\"} %llu\n", name,
+			      labels, (double)latency_bounds_us[i] / US_PER_S,
+			      (unsigned long long)sum);
 	}
-	put(out, "%s_bucket{%s,le=\"+Inf\"} %llu\n", name, labels,
-	    (unsigned long long)latency->count);
-	put(out, "%s_sum{%s} %.6f\n", name, labels,
-	    (double)latency->sum_us / US_PER_S);
-	put(out, "%s_count{%s} %llu\n", name, labels,
-	    (unsigned long long)latency->count);
+	buffer_format(out, "%s_bucket{%s,le=\"+Inf\"} %llu\n", name, labels,
+		      (unsigned long long)latency->count);
+	buffer_format(out, "%s_sum{%s} %.6f\n", name, labels,
+		      (double)latency->sum_us / US_PER_S);
+	buffer_format(out, "%s_count{%s} %llu\n", name, labels,
+		      (unsigned long long)latency->count);
 }
 
 /* Lines of one metric must stand together. */
--- a/src/profile/task.h
+++ b/src/profile/task.h
@@ -144,6 +144,13 @@
 /** task_again() - the same step once more, after a while; false if too often */
 bool task_again(struct task *task);
 
+/**
+ * task_reread() - a conditional write did not take effect, or perhaps it did
+ * @phase: in which @key is read to see what is there now
+ */
+void task_reread(struct task *task, const struct store_result *result,
+		 enum task_phase phase, const char *key);
+
 void task_end(struct task *task, enum editor_outcome outcome,
 	      enum error_code code, const char *fmt, ...)
 	__attribute__((format(printf, 4, 5)));
--- a/src/profile/task_accept.c
+++ b/src/profile/task_accept.c
@@ -353,15 +353,7 @@
 		commit(task);
 		return;
 	}
-	if (result->outcome == STORE_UNKNOWN)
-		task->unknown = true;
-	else if (result->reason != STORE_CHANGED) {
-		task_failed(task, result);
-		return;
-	}
-	task_read(task, PHASE_READ_BACK, KEY_HEAD);
-	if (!task_again(task))
-		task_failed(task, result);
+	task_reread(task, result, PHASE_READ_BACK, KEY_HEAD);
 }
 
 /* So many versions later that the id may have been pushed out of the head. */
--- a/src/profile/task_common.c
+++ b/src/profile/task_common.c
@@ -55,6 +55,21 @@
 	return true;
 }
 
+/* Somebody else wrote, or perhaps we did. */
+void task_reread(struct task *task, const struct store_result *result,
+		 enum task_phase phase, const char *key)
+{
+	if (result->outcome == STORE_UNKNOWN) {
+		task->unknown = true;
+	} else if (result->reason != STORE_CHANGED) {
+		task_failed(task, result);
+		return;
+	}
+	task_read(task, phase, key);
+	if (!task_again(task))
+		task_failed(task, result);
+}
+
 void task_end(struct task *task, enum editor_outcome outcome,
 	      enum error_code code, const char *fmt, ...)
 {
--- a/src/profile/task_draft.c
+++ b/src/profile/task_draft.c
@@ -152,16 +152,7 @@
 		task_done(task, task->head.version);
 		return;
 	}
-	if (result->outcome == STORE_UNKNOWN)
-		task->unknown = true;
-	else if (result->reason != STORE_CHANGED) {
-		task_failed(task, result);
-		return;
-	}
-	/* Somebody else wrote, or perhaps we did: read and see. */
-	task_read(task, PHASE_DRAFTS, KEY_DRAFTS);
-	if (!task_again(task))
-		task_failed(task, result);
+	task_reread(task, result, PHASE_DRAFTS, KEY_DRAFTS);
 }
 
 void task_draft_input(struct task *task, const struct store_result *result)
--- a/src/store/store_http.c
+++ b/src/store/store_http.c
@@ -54,6 +54,18 @@
 	message->http.fresh_connection = true;
 }
 
+void store_message_begin(struct store_message *message, int64_t try_ms,
+			 size_t most_bytes)
+{
+	message->http = (struct http_request){
+		.method = "GET",
+		.url = message->url,
+		.timeout_ms = try_ms,
+		.connect_timeout_ms = try_ms,
+		.max_answer_bytes = most_bytes,
+	};
+}
+
 void store_http_encode(struct store_message *message,
 		       const struct store_request *request,
 		       const struct address *address, int64_t try_ms)
@@ -61,16 +73,11 @@
 	char text[ADDRESS_TEXT_SIZE];
 	char key[STORE_KEY_SIZE * 3];
 
-	memset(&message->http, 0, sizeof(message->http));
+	store_message_begin(message, try_ms, ANSWER_MAX_BYTES);
 	address_format(address, text);
 	store_result_escape(request->key, key, sizeof(key));
 	snprintf(message->url, sizeof(message->url), "http://%s/v1/kv/%s", text,
 		 key);
-	message->http.method = "GET";
-	message->http.url = message->url;
-	message->http.timeout_ms = try_ms;
-	message->http.connect_timeout_ms = try_ms;
-	message->http.max_answer_bytes = ANSWER_MAX_BYTES;
 	switch (request->kind) {
 	case STORE_GET:
 	case STORE_KINDS:
--- a/src/store/store_http.h
+++ b/src/store/store_http.h
@@ -36,6 +36,13 @@
 	char *body; /* freed once the call has been sent; may be NULL */
 };
 
+/**
+ * store_message_begin() - a GET without header fields, its URL still empty
+ * @most_bytes: of the answer
+ */
+void store_message_begin(struct store_message *message, int64_t try_ms,
+			 size_t most_bytes);
+
 /**
  * store_http_encode() - write a call
  * @try_ms: for this try, without the time that a watch waits
