tests: real nodes over a stand-in of the platform's own store

The stand-in speaks the store's own form: items in base64, watches of a prefix (410 after its history is gone), conditional writes, answers that are lost, refusals, silence. Four tests run nodes, an upstream with heartbeats and an operator's document over it: from an empty store to a served request and back, three faults of the store outlived with requests going on, lost answers of writes, and a restart in an outage, which fails without the look for departed nodes.

Not in the stand-in: pages of a range (no call of ours uses them), leases, 429 beyond the rates, writes that take effect seconds later.

--- /dev/null
+++ b/test/functional/target_test.c
@@ -0,0 +1,357 @@
+#include <criterion/criterion.h>
+#include <jansson.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "fleet/fetch.h"
+#include "fleet/process.h"
+#include "functional/background.h"
+#include "os/clock.h"
+
+/**
+ * DOC: target
+ *
+ * Real nodes on the target platform's interface: its metadata store in its
+ * own form, an operator who writes documents there, upstreams that send
+ * heartbeats, callers whose requests are routed by host and path.
+ */
+
+enum {
+	NODES = 2,
+	POLL_MS = 20,
+	WAIT_MS = BACKGROUND_WAIT_MS,
+	PATH_SIZE = 192,
+	ADDRESS_SIZE = 64,
+	TEXT_SIZE = 4096,
+	DOCUMENT_SIZE = 1024,
+};
+
+struct target_node {
+	struct process process;
+	char settings[PATH_SIZE];
+	char peer[ADDRESS_SIZE]; /* the same after a restart */
+	char caller[ADDRESS_SIZE];
+	char upstream[ADDRESS_SIZE];
+	char operator_address[ADDRESS_SIZE];
+};
+
+static struct {
+	struct process metadata;
+	char metadata_address[ADDRESS_SIZE];
+	struct process upstream;
+	char upstream_address[ADDRESS_SIZE];
+	struct target_node nodes[NODES];
+	int64_t sequence; /* of heartbeats */
+} target;
+
+static char directory[PATH_SIZE];
+
+static const char settings_form[] =
+	"[node]\ndeployment = \"test\"\ndata_centre = \"hall\"\n"
+	"instance = \"side-%d\"\ninterface = \"platform\"\n"
+	"service = \"huvo\"\n"
+	"[listen]\npeer = \"%s\"\ncaller = \"127.0.0.1:0\"\n"
+	"upstream = \"127.0.0.1:0\"\noperator = \"127.0.0.1:0\"\n"
+	"[peers]\nsecret = \"a secret of the tests\"\n"
+	"[platform]\naddress = \"%s\"\ntimeout_ms = 1000\n"
+	"[call]\nlinger_ms = 0\nkeep_upstream_ms = 0\n";
+
+static void start_child(struct process *process, const char *program,
+			const char *const args[], const char *name)
+{
+	char log[PATH_SIZE + 32];
+
+	snprintf(log, sizeof(log), "%s/%s.log", directory, name);
+	cr_assert(process_start(process, program, args, log));
+	cr_assert(process_wait_ready(process, WAIT_MS), "%s", name);
+}
+
+static void start_node(int i)
+{
+	struct target_node *node = &target.nodes[i];
+	const char *args[] = { "node", "--settings", node->settings, NULL };
+	char name[16];
+	FILE *file;
+
+	snprintf(name, sizeof(name), "node-%d", i);
+	snprintf(node->settings, PATH_SIZE, "%.150s/%.20s.toml", directory,
+		 name);
+	file = fopen(node->settings, "we");
+	cr_assert_not_null(file);
+	fprintf(file, settings_form, i,
+		*node->peer ? node->peer : "127.0.0.1:0",
+		target.metadata_address);
+	cr_assert_eq(fclose(file), 0);
+	start_child(&node->process, "geraniumplank", args, name);
+	process_ready_text(&node->process, "peer", node->peer, ADDRESS_SIZE);
+	process_ready_text(&node->process, "caller", node->caller,
+			   ADDRESS_SIZE);
+	process_ready_text(&node->process, "upstream", node->upstream,
+			   ADDRESS_SIZE);
+	process_ready_text(&node->process, "operator", node->operator_address,
+			   ADDRESS_SIZE);
+}
+
+static void start(void)
+{
+	static const char *const metadata[] = { "metadata", NULL };
+	static const char *const upstream[] = { "upstream", "--service",
+						"huvo",	    "--announce",
+						"",	    NULL };
+	int i;
+
+	snprintf(directory, PATH_SIZE, "/tmp/geraniumplank-XXXXXX");
+	cr_assert_not_null(mkdtemp(directory));
+	start_child(&target.metadata, "standin", metadata, "metadata");
+	process_ready_text(&target.metadata, "address", target.metadata_address,
+			   ADDRESS_SIZE);
+	start_child(&target.upstream, "standin", upstream, "upstream");
+	process_ready_text(&target.upstream, "address", target.upstream_address,
+			   ADDRESS_SIZE);
+	for (i = 0; i < NODES; i++)
+		start_node(i);
+}
+
+static void stop(void)
+{
+	char command[PATH_SIZE + 16];
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		process_kill(&target.nodes[i].process);
+	process_kill(&target.upstream);
+	process_kill(&target.metadata);
+	snprintf(command, sizeof(command), "rm -r %s", directory);
+	cr_expect_eq(system(command), 0);
+}
+
+static long post(const char *address, const char *path, const char *body)
+{
+	struct fetch fetch = { .method = "POST",
+			       .body = body,
+			       .headers = {
+				       "Content-Type: application/json" } };
+	long status;
+
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s%s", address, path);
+	fetch_run(&fetch);
+	status = fetch.status;
+	fetch_finish(&fetch);
+	return status;
+}
+
+static void set_faults(const char *faults)
+{
+	cr_assert_eq(post(target.metadata_address, "/faults", faults), 200);
+}
+
+/* The operator's document, with one route to @service. */
+static void write_document(int version, const char *service)
+{
+	char text[DOCUMENT_SIZE];
+	char value[DOCUMENT_SIZE * 2];
+	char body[DOCUMENT_SIZE * 3];
+
+	snprintf(text, sizeof(text),
+		 "{\"version\":\"r%d\",\"routes\":{\"r-1\":{\"host\":"
+		 "\"h.example\",\"prefix\":\"/lepu/\",\"kind\":\"safe\","
+		 "\"timeout_s\":5,\"target_latency_s\":1,\"priority\":0,"
+		 "\"service\":\"%s\",\"max_attempts\":2}},\"services\":"
+		 "{\"huvo\":{\"health_path\":\"/healthz\","
+		 "\"max_connections\":50}}}",
+		 version, service);
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)text,
+			  strlen(text), sodium_base64_VARIANT_ORIGINAL);
+	snprintf(body, sizeof(body),
+		 "{\"precondition\":[],\"deletes\":[],\"writes\":[{\"key\":"
+		 "\"op/config\",\"value\":\"%s\",\"lease\":0}]}",
+		 value);
+	cr_assert_eq(post(target.metadata_address, "/-/kv-txn", body), 200);
+}
+
+static long heartbeat(int node, const char *id, const char *state)
+{
+	char path[PATH_SIZE];
+	char body[TEXT_SIZE];
+
+	snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s", id);
+	snprintf(body, sizeof(body),
+		 "{\"address\":\"%s\",\"info\":{\"service\":\"huvo\","
+		 "\"version\":\"v1\",\"zone\":\"hall\",\"slots\":6},"
+		 "\"status\":{\"state\":\"%s\",\"seq\":%lld,"
+		 "\"cold_left_s\":0}}",
+		 target.upstream_address, state, (long long)++target.sequence);
+	return post(target.nodes[node].upstream, path, body);
+}
+
+static long call(int node)
+{
+	struct fetch fetch = { .method = "GET",
+			       .headers = { "Host: h.example",
+					    "X-Request-Id: 9c41d07be2a35f68",
+					    "X-Deadline-Ms: 2000" } };
+	long status;
+
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s/lepu/2f",
+		 target.nodes[node].caller);
+	fetch_run(&fetch);
+	status = fetch.status;
+	fetch_finish(&fetch);
+	return status;
+}
+
+/* An upstream goes on sending heartbeats while it lives. */
+static bool call_until(int node, long wanted, const char *state)
+{
+	int64_t until_us = clock_monotonic_us() + WAIT_MS * US_PER_MS;
+
+	while (clock_monotonic_us() < until_us) {
+		if (state)
+			heartbeat(0, "i-1", state);
+		if (call(node) == wanted)
+			return true;
+		pause_ms(POLL_MS);
+	}
+	return false;
+}
+
+static int64_t counter(int node, const char *name)
+{
+	struct fetch fetch = { .method = "GET" };
+	int64_t value = -1;
+	json_t *json;
+
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s/v1/counters",
+		 target.nodes[node].operator_address);
+	if (fetch_run(&fetch)) {
+		json = json_loads(fetch.answer, 0, NULL);
+		value = json_integer_value(json_object_get(
+			json_object_get(json, "counters"), name));
+		json_decref(json);
+	}
+	fetch_finish(&fetch);
+	return value;
+}
+
+static bool version_comes(int node, int64_t version)
+{
+	int64_t until_us = clock_monotonic_us() + WAIT_MS * US_PER_MS;
+
+	while (clock_monotonic_us() < until_us) {
+		if (counter(node, "config.version") == version)
+			return true;
+		pause_ms(POLL_MS);
+	}
+	return false;
+}
+
+static void all_have(int64_t version)
+{
+	int i;
+
+	for (i = 0; i < NODES; i++)
+		cr_assert(version_comes(i, version), "node %d, version %lld", i,
+			  (long long)version);
+}
+
+/*
+ * The life of a deployment: nodes that start with an empty store, a first
+ * document, an upstream from its first heartbeat to its last, a route that
+ * moves to a service without upstreams.
+ */
+Test(target, from_an_empty_store_to_a_served_request, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	cr_expect_eq(call(1), 503, "no document yet");
+	write_document(7, "huvo");
+	all_have(7);
+	cr_expect_eq(call(1), 503, "no upstream yet");
+	cr_expect_eq(heartbeat(0, "i-1", "ready"), 200);
+	cr_expect(call_until(0, 200, "ready"), "beside the upstream");
+	cr_expect(call_until(1, 200, "ready"), "by the other node");
+	cr_expect_eq(heartbeat(0, "i-1", "draining"), 200);
+	cr_expect(call_until(1, 503, "draining"));
+	cr_expect_eq(post(target.nodes[0].upstream,
+			  "/-/Instances.Deregister/i-1", ""),
+		     200);
+	cr_expect_eq(call(0), 503);
+	write_document(9, "kafi");
+	all_have(9);
+	cr_expect_eq(call(0), 503);
+}
+
+/*
+ * Symptom: versions stop coming, or requests fail, after a fault of the store.
+ * Sequence: the named fault begins while nodes serve; requests go on; it ends;
+ * the operator writes another document.
+ * Cause: a watch that is not begun anew, or a node that needs the store to
+ * serve what it has.
+ */
+Test(target, what_the_store_does_wrong_is_outlived, .init = start, .fini = stop,
+     .timeout = 120)
+{
+	static const struct {
+		const char *begin;
+		const char *end;
+	} cases[] = {
+		{ "{\"forget\":1}", "{}" },
+		{ "{\"down\":1}", "{\"down\":0}" },
+		{ "{\"silent\":1}", "{\"silent\":0}" },
+	};
+	int version = 1;
+	size_t i;
+
+	write_document(version, "huvo");
+	all_have(version);
+	cr_assert(call_until(1, 200, "ready"));
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		set_faults(cases[i].begin);
+		cr_expect(call_until(0, 200, "ready"), "case %zu", i);
+		cr_expect(call_until(1, 200, "ready"), "case %zu", i);
+		set_faults(cases[i].end);
+		write_document(++version, "huvo");
+		all_have(version);
+		cr_expect_eq(call(1), 200, "case %zu", i);
+	}
+}
+
+/*
+ * Symptom: a node that was restarted while the store is down answers nothing.
+ * Sequence: the store goes down; a node is stopped and started at once.
+ * Cause: it finds the others by the store only.
+ */
+Test(target, a_restart_in_an_outage_is_found_by_the_others, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	struct process *process = &target.nodes[1].process;
+
+	write_document(3, "huvo");
+	all_have(3);
+	cr_assert(call_until(1, 200, "ready"));
+	set_faults("{\"down\":1}");
+	process_signal(process, SIGTERM);
+	cr_assert(process_wait(process, WAIT_MS));
+	start_node(1);
+	cr_expect(call_until(1, 200, "ready"));
+}
+
+/*
+ * Symptom: two nodes never find each other.
+ * Sequence: the answers to the first writes of the directory are lost.
+ * Cause: a write whose answer is lost is taken for one that did not happen,
+ * or the other way round.
+ */
+Test(target, lost_answers_of_writes_are_made_good, .init = start, .fini = stop,
+     .timeout = 120)
+{
+	process_kill(&target.nodes[1].process);
+	set_faults("{\"lose_answers\":2}");
+	start_node(1);
+	write_document(5, "huvo");
+	all_have(5);
+	cr_assert(call_until(1, 200, "ready"));
+}
--- a/test/standin/standin.c
+++ b/test/standin/standin.c
@@ -15,6 +15,7 @@
 		int (*run)(int argc, char **argv);
 	} kinds[] = {
 		{ "platform", standin_platform },
+		{ "metadata", standin_metadata },
 		{ "upstream", standin_upstream },
 		{ "link", standin_link },
 		{ NULL, NULL },
--- a/test/standin/standin.h
+++ b/test/standin/standin.h
@@ -8,6 +8,9 @@
 /** standin_platform() - the platform's key-value service. */
 int standin_platform(int argc, char **argv);
 
+/** standin_metadata() - the target platform's metadata store. */
+int standin_metadata(int argc, char **argv);
+
 /** standin_upstream() - one or more upstreams. */
 int standin_upstream(int argc, char **argv);
 
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -76,7 +76,10 @@
 		{ "Content-Type", "text/plain" },
 		{ "X-Request-Id", job->id },
 		{ "X-Instance", job->upstream->options.instance },
+		/* Upstreams of the target platform sign what they ran. */
+		{ "X-Response-Stamp", job->id },
 	};
+	const size_t count = sizeof(headers) / sizeof(headers[0]);
 	int64_t size =
 		query_number(job->exchange, "bytes", (int64_t)strlen(job->id));
 	char *body;
@@ -92,8 +95,8 @@
 					(size_t)size + CUT_BYTES,
 					(size_t)size / 2);
 	} else {
-		http_exchange_reply(job->exchange, STATUS_OK, headers, 3, body,
-				    (size_t)size);
+		http_exchange_reply(job->exchange, STATUS_OK, headers, count,
+				    body, (size_t)size);
 	}
 	free(body);
 }
