--- a/src/membership/gossip.c
+++ b/src/membership/gossip.c
@@ -21,7 +21,7 @@
 	"Datagrams dropped because their seal was not of this deployment");
 GAUGE(records, "membership.records", "Records held, the own one included");
 GAUGE(live, "membership.live",
-	"Nodes of the own data centre that can be reached, this one included");
+      "Nodes of the own data centre that can be reached, this one included");
 
 /* The array's head takes one byte, as a datagram has fewer than 16 fields;
  * the type follows. */
