--- a/src/membership/departed.c
+++ b/src/membership/departed.c
@@ -14,7 +14,8 @@
 
 enum {
 	KNOCKERS = 2,
-	/* The least time that a process needs to start anew is half a second. */
+	/* A restart takes about half a second; half of that is the most that
+	 * it then waits to be found. */
 	KNOCK_EVERY_MS = 250,
 	/* A drain takes place before the node leaves; it is gone for the time
 	 * of a start only. */
