upstream: a start is told by its id and the time at which it began

An upstream that starts again may keep its id and numbers its heartbeats from one. Told apart by id and number alone, its first words were all late: the gate stayed as the start before had left it. Now a later time of birth under the same id is a new start (what was known is forgotten, numbers begin anew), an earlier one is late whatever its number.

Ruled out: ordering starts of different ids by their times too; clocks jump, and the rule by ids and numbers stands there.

--- a/src/call/announce.c
+++ b/src/call/announce.c
@@ -253,11 +253,20 @@
 static void take_word(struct announce *announce,
 		      const struct announce_word *word)
 {
-	if (!starts_take(&announce->starts, word->now.id, word->sequence,
-			 word->leaves)) {
+	const struct start_word start = { .id = word->now.id,
+					  .born_ms = word->born_ms,
+					  .sequence = word->sequence,
+					  .leaves = word->leaves };
+	uint32_t begun = announce->starts.begun;
+
+	if (!starts_take(&announce->starts, &start)) {
 		counter_add(&overtaken, 1);
 		return;
 	}
+	/* What is known of a process does not hold for the one that started
+	 * in its place, also where that has its id and address. */
+	if (begun != announce->starts.begun)
+		forget(announce);
 	if (word->departs)
 		depart(announce);
 	else
@@ -282,6 +291,7 @@
 		return;
 	}
 	counter_add(&invalid, 1);
+	log_warn(slice, "announcement_refused", LOG_TEXT("reason", err.text));
 	reply_error(exchange,
 		    err.code == ERROR_NOT_FOUND ? STATUS_NOT_FOUND
 						: STATUS_INVALID,
--- a/src/call/announce.h
+++ b/src/call/announce.h
@@ -46,11 +46,13 @@
 /**
  * struct announce_word - one message of an upstream whose starts have ids
  * @now: only its id if it departs
+ * @born_ms: when its process began, since 1970 by its clock; 0: not said
  * @leaves: it wants no new work
  * @departs: it says no more than that it goes
  */
 struct announce_word {
 	struct announcement now;
+	int64_t born_ms;
 	uint64_t sequence;
 	bool leaves;
 	bool departs;
--- a/src/call/starts.c
+++ b/src/call/starts.c
@@ -28,14 +28,17 @@
 	starts->known = false;
 }
 
-static void begin(struct starts *starts, const char *id, uint64_t sequence)
+static void begin(struct starts *starts, const struct start_word *word)
 {
 	struct start *present = &starts->present;
 
 	memset(present, 0, sizeof(*present));
-	snprintf(present->id, sizeof(present->id), "%s", id);
-	present->sequence = sequence;
+	snprintf(present->id, sizeof(present->id), "%s", word->id);
+	present->born_ms = word->born_ms;
+	present->sequence = word->sequence;
+	present->left = word->leaves;
 	starts->known = true;
+	starts->begun++;
 }
 
 static void bring_back(struct starts *starts, struct start *start)
@@ -47,57 +50,86 @@
 	starts->present = back;
 	starts->present.revived = 0;
 	starts->known = true;
+	starts->begun++;
+}
+
+/* Of two starts under one id that both told when they began. */
+static bool began_before(int64_t born_ms, int64_t other_ms)
+{
+	return born_ms && other_ms && born_ms < other_ms;
 }
 
 /* A word of the present start: news unless it was overtaken. */
-static bool take_present(struct starts *starts, uint64_t sequence, bool leaves)
+static bool take_present(struct starts *starts, const struct start_word *word)
 {
 	struct start *present = &starts->present;
+	uint64_t sequence = word->sequence;
 	uint32_t i;
 
-	if (sequence && sequence <= present->sequence && !leaves)
+	if (sequence && sequence <= present->sequence && !word->leaves)
 		return false;
+	if (!present->born_ms)
+		present->born_ms = word->born_ms;
 	for (i = 0; i < starts->earlier_count; i++)
 		starts->earlier[i].revived = 0;
 	if (sequence > present->sequence)
 		present->sequence = sequence;
-	if (present->left && !leaves)
+	if (present->left && !word->leaves)
 		return false;
-	present->left = leaves;
+	present->left = word->leaves;
 	return true;
 }
 
 static bool take_earlier(struct starts *starts, struct start *start,
-			 uint64_t sequence, bool leaves)
+			 const struct start_word *word)
 {
-	if (leaves)
+	if (word->leaves)
 		start->left = true;
-	if (start->left || sequence <= start->sequence)
+	if (start->left || word->sequence <= start->sequence)
 		return false;
-	start->sequence = sequence;
+	start->sequence = word->sequence;
 	if (++start->revived < STARTS_REVIVED)
 		return false;
 	bring_back(starts, start);
 	return true;
 }
 
-bool starts_take(struct starts *starts, const char *id, uint64_t sequence,
-		 bool leaves)
+/*
+ * A process that starts again under its id counts its words from one: judged
+ * by their numbers alone all of them would be late, and its node would send it
+ * nothing until it has said as much as its predecessor.
+ */
+static bool take_same_id(struct starts *starts, const struct start_word *word)
+{
+	int64_t born_ms = starts->present.born_ms;
+
+	if (began_before(word->born_ms, born_ms))
+		return false;
+	if (!began_before(born_ms, word->born_ms))
+		return take_present(starts, word);
+	begin(starts, word);
+	return true;
+}
+
+bool starts_take(struct starts *starts, const struct start_word *word)
 {
 	struct start *earlier;
 
-	if (starts->known && !strcmp(starts->present.id, id))
-		return take_present(starts, sequence, leaves);
-	earlier = find_earlier(starts, id);
-	if (earlier)
-		return take_earlier(starts, earlier, sequence, leaves);
+	if (starts->known && !strcmp(starts->present.id, word->id))
+		return take_same_id(starts, word);
+	earlier = find_earlier(starts, word->id);
+	if (earlier && began_before(word->born_ms, earlier->born_ms))
+		return false;
+	if (earlier && !began_before(earlier->born_ms, word->born_ms))
+		return take_earlier(starts, earlier, word);
 	/* The leaving of a start that was never here tells nothing of the
 	 * one that is. */
-	if (leaves && starts->known)
+	if (word->leaves && starts->known)
 		return false;
+	if (earlier)
+		*earlier = starts->earlier[--starts->earlier_count];
 	retire_present(starts);
-	begin(starts, id, sequence);
-	starts->present.left = leaves;
+	begin(starts, word);
 	return true;
 }
 
@@ -113,6 +145,6 @@
 		return true;
 	}
 	retire_present(starts);
-	begin(starts, id, 0);
+	begin(starts, &(struct start_word){ .id = id });
 	return true;
 }
--- a/src/call/starts.h
+++ b/src/call/starts.h
@@ -9,11 +9,12 @@
 /**
  * DOC: starts
  *
- * Which start of the upstream beside is the present one, where each start has
- * an id of its own. Words of an earlier start may come late, after a new one
- * has begun at the same address; taken at face value they would reopen the
- * gate of an upstream that has gone, and requests would be sent to a process
- * that refuses them. Decision core: no sockets, no clock.
+ * Which start of the upstream beside is the present one. A start has an id and,
+ * where upstreams tell it, the time at which it began: one that starts again
+ * may keep its id, and numbers its words anew. Words of an earlier start may
+ * come late, after a new one has begun at the same address; taken at face value
+ * they would reopen the gate of an upstream that has gone, and requests would
+ * be sent to a process that refuses them. Decision core: no sockets, no clock.
  */
 
 enum {
@@ -25,11 +26,13 @@
 
 /**
  * struct start - one start of the upstream
+ * @born_ms: when it began, by its own clock since 1970; 0: it has not said
  * @sequence: of its newest word
  * @left: it has said that it leaves; what it says later does not undo that
  */
 struct start {
 	char id[UPSTREAM_ID_SIZE];
+	int64_t born_ms;
 	uint64_t sequence;
 	bool left;
 	uint32_t revived;
@@ -38,23 +41,35 @@
 /**
  * struct starts - the present start and those before it
  * @known: whether there is a present one
+ * @begun: starts that became the present one so far
  */
 struct starts {
 	struct start present;
 	bool known;
+	uint32_t begun;
 	struct start earlier[STARTS_KEPT];
 	uint32_t earlier_count;
 };
 
 /**
- * starts_take() - a word has come
- * @leaves: it says that the upstream leaves or has gone
+ * struct start_word - what a word of an upstream says of its start
+ * @born_ms: when that began; 0: not said
  * @sequence: counts the words of one start
+ * @leaves: it says that the upstream leaves or has gone
+ */
+struct start_word {
+	const char *id;
+	int64_t born_ms;
+	uint64_t sequence;
+	bool leaves;
+};
+
+/**
+ * starts_take() - a word has come
  *
  * Return: whether it is news of the present start; others change nothing.
  */
-bool starts_take(struct starts *starts, const char *id, uint64_t sequence,
-		 bool leaves);
+bool starts_take(struct starts *starts, const struct start_word *word);
 
 /**
  * starts_correct() - the upstream itself has told its id
--- a/src/call/starts_test.c
+++ b/src/call/starts_test.c
@@ -14,8 +14,16 @@
 	bool leaves;
 	bool news;
 	const char *present;
+	int64_t born_ms;
 };
 
+static bool take(struct starts *starts, const char *id, uint64_t sequence)
+{
+	const struct start_word word = { .id = id, .sequence = sequence };
+
+	return starts_take(starts, &word);
+}
+
 /*
  * Symptom: requests reach a node whose upstream answers that it is another
  * start, or an upstream that has said it leaves gets new work.
@@ -30,45 +38,72 @@
 		struct word words[WORDS_MAX];
 	} cases[] = {
 		{ "one start",
-		  { { "a", 1, false, true, "a" },
-		    { "a", 2, false, true, "a" },
-		    { "a", 2, false, false, "a" },
-		    { "a", 1, false, false, "a" } } },
+		  { { "a", 1, false, true, "a", 0 },
+		    { "a", 2, false, true, "a", 0 },
+		    { "a", 2, false, false, "a", 0 },
+		    { "a", 1, false, false, "a", 0 } } },
 		{ "leaving is not taken back",
-		  { { "a", 1, false, true, "a" },
-		    { "a", 3, true, true, "a" },
-		    { "a", 2, false, false, "a" },
-		    { "a", 4, false, false, "a" } } },
+		  { { "a", 1, false, true, "a", 0 },
+		    { "a", 3, true, true, "a", 0 },
+		    { "a", 2, false, false, "a", 0 },
+		    { "a", 4, false, false, "a", 0 } } },
 		{ "a departure has no number",
-		  { { "a", 9, false, true, "a" },
-		    { "a", 0, true, true, "a" },
-		    { "a", 10, false, false, "a" } } },
+		  { { "a", 9, false, true, "a", 0 },
+		    { "a", 0, true, true, "a", 0 },
+		    { "a", 10, false, false, "a", 0 } } },
 		{ "the next start",
-		  { { "a", 9, false, true, "a" },
-		    { "b", 1, false, true, "b" },
-		    { "a", 10, false, false, "b" },
-		    { "b", 2, false, true, "b" },
-		    { "a", 11, false, false, "b" } } },
+		  { { "a", 9, false, true, "a", 0 },
+		    { "b", 1, false, true, "b", 0 },
+		    { "a", 10, false, false, "b", 0 },
+		    { "b", 2, false, true, "b", 0 },
+		    { "a", 11, false, false, "b", 0 } } },
 		{ "the earlier one leaves late",
-		  { { "a", 9, false, true, "a" },
-		    { "b", 1, false, true, "b" },
-		    { "a", 10, true, false, "b" },
-		    { "a", 0, true, false, "b" },
-		    { "b", 2, false, true, "b" } } },
+		  { { "a", 9, false, true, "a", 0 },
+		    { "b", 1, false, true, "b", 0 },
+		    { "a", 10, true, false, "b", 0 },
+		    { "a", 0, true, false, "b", 0 },
+		    { "b", 2, false, true, "b", 0 } } },
 		{ "a late word of one never seen, then the present one",
-		  { { "b", 5, false, true, "b" },
-		    { "a", 40, false, true, "a" },
-		    { "b", 6, false, false, "a" },
-		    { "b", 7, false, true, "b" },
-		    { "a", 39, false, false, "b" } } },
+		  { { "b", 5, false, true, "b", 0 },
+		    { "a", 40, false, true, "a", 0 },
+		    { "b", 6, false, false, "a", 0 },
+		    { "b", 7, false, true, "b", 0 },
+		    { "a", 39, false, false, "b", 0 } } },
 		{ "the leaving of one never seen",
-		  { { "b", 5, false, true, "b" },
-		    { "a", 40, true, false, "b" },
-		    { "b", 6, false, true, "b" } } },
+		  { { "b", 5, false, true, "b", 0 },
+		    { "a", 40, true, false, "b", 0 },
+		    { "b", 6, false, true, "b", 0 } } },
+		{ "again under the same id: numbers begin anew",
+		  { { "a", 40, false, true, "a", 1000 },
+		    { "a", 1, false, true, "a", 2000 },
+		    { "a", 2, false, true, "a", 2000 },
+		    { "a", 2, false, false, "a", 2000 } } },
+		{ "a word of the earlier one is late, whatever its number",
+		  { { "a", 40, false, true, "a", 1000 },
+		    { "a", 1, false, true, "a", 2000 },
+		    { "a", 41, false, false, "a", 1000 },
+		    { "a", 42, false, false, "a", 1000 },
+		    { "a", 0, true, false, "a", 1000 },
+		    { "a", 2, false, true, "a", 2000 } } },
+		{ "it left, and has started again",
+		  { { "a", 40, true, true, "a", 1000 },
+		    { "a", 41, false, false, "a", 1000 },
+		    { "a", 1, false, true, "a", 2000 } } },
+		{ "another id, then the first one again",
+		  { { "a", 40, false, true, "a", 1000 },
+		    { "b", 1, false, true, "b", 2000 },
+		    { "a", 41, false, false, "b", 1000 },
+		    { "a", 1, false, true, "a", 3000 },
+		    { "b", 2, false, false, "a", 2000 },
+		    { "a", 42, false, false, "a", 1000 } } },
+		{ "one that did not say when it began, and then does",
+		  { { "a", 4, false, true, "a", 0 },
+		    { "a", 5, false, true, "a", 1000 },
+		    { "a", 1, false, true, "a", 2000 } } },
 		{ "one that leaves is the first to be heard of",
-		  { { "a", 0, true, true, "a" },
-		    { "a", 7, false, false, "a" },
-		    { "b", 1, false, true, "b" } } },
+		  { { "a", 0, true, true, "a", 0 },
+		    { "a", 7, false, false, "a", 0 },
+		    { "b", 1, false, true, "b", 0 } } },
 	};
 	size_t i;
 	size_t j;
@@ -78,8 +113,12 @@
 
 		for (j = 0; j < WORDS_MAX && cases[i].words[j].id; j++) {
 			const struct word *word = &cases[i].words[j];
-			bool news = starts_take(&starts, word->id,
-						word->sequence, word->leaves);
+			bool news = starts_take(
+				&starts, &(struct start_word){
+						 .id = word->id,
+						 .born_ms = word->born_ms,
+						 .sequence = word->sequence,
+						 .leaves = word->leaves });
 
 			cr_expect_eq(news, word->news, "%s: word %zu",
 				     cases[i].name, j);
@@ -93,14 +132,14 @@
 {
 	struct starts starts = { 0 };
 
-	cr_expect(starts_take(&starts, "a", 5, false));
+	cr_expect(take(&starts, "a", 5));
 	cr_expect_not(starts_correct(&starts, "a"));
 	cr_expect(starts_correct(&starts, "b"));
 	cr_expect_str_eq(starts.present.id, "b");
-	cr_expect_not(starts_take(&starts, "a", 6, false));
-	cr_expect(starts_take(&starts, "b", 1, false));
+	cr_expect_not(take(&starts, "a", 6));
+	cr_expect(take(&starts, "b", 1));
 	cr_expect(starts_correct(&starts, "a"));
-	cr_expect(starts_take(&starts, "a", 7, false));
+	cr_expect(take(&starts, "a", 7));
 }
 
 /* Many starts: the oldest is forgotten, the present one never. */
@@ -111,7 +150,7 @@
 	int i;
 
 	for (i = 0; i < STARTS_KEPT * 2; i++, id[0]++)
-		cr_expect(starts_take(&starts, id, 1, false));
+		cr_expect(take(&starts, id, 1));
 	cr_expect_eq(starts.earlier_count, STARTS_KEPT);
 	id[0]--;
 	cr_expect_str_eq(starts.present.id, id);
--- a/test/functional/target_test.c
+++ b/test/functional/target_test.c
@@ -46,6 +46,7 @@
 	char upstream_address[ADDRESS_SIZE];
 	struct target_node nodes[NODES];
 	int64_t sequence; /* of heartbeats */
+	int64_t born_ms;  /* of the upstream's present start */
 } target;
 
 static char directory[PATH_SIZE];
@@ -104,6 +105,7 @@
 						"",	    NULL };
 	int i;
 
+	target.born_ms = 1764720000000;
 	snprintf(directory, PATH_SIZE, "/tmp/geraniumplank-XXXXXX");
 	cr_assert_not_null(mkdtemp(directory));
 	start_child(&target.metadata, "standin", metadata, "metadata");
@@ -180,11 +182,13 @@
 
 	snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s", id);
 	snprintf(body, sizeof(body),
-		 "{\"address\":\"%s\",\"info\":{\"service\":\"huvo\","
+		 "{\"address\":\"%s\",\"born\":%lld,"
+		 "\"info\":{\"service\":\"huvo\","
 		 "\"version\":\"v1\",\"zone\":\"hall\",\"slots\":6},"
 		 "\"status\":{\"state\":\"%s\",\"seq\":%lld,"
 		 "\"cold_left_s\":0}}",
-		 target.upstream_address, state, (long long)++target.sequence);
+		 target.upstream_address, (long long)target.born_ms, state,
+		 (long long)++target.sequence);
 	return post(target.nodes[node].upstream, path, body);
 }
 
@@ -284,6 +288,32 @@
 	cr_expect_eq(call(0), 503);
 }
 
+/*
+ * Symptom: an upstream that started again gets no requests.
+ * Sequence: it leaves, or is killed, and starts again under its id and at its
+ * address; its heartbeats are numbered from one; one of the start before comes
+ * late.
+ * Cause: heartbeats told apart by id and number alone.
+ */
+Test(target, a_start_under_the_same_id_takes_work_at_once, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	write_document(7, "huvo");
+	all_have(7);
+	target.sequence = 40;
+	cr_assert(call_until(0, 200, "ready"));
+	cr_expect_eq(heartbeat(0, "i-1", "draining"), 200);
+	cr_expect_eq(call(0), 503, "draining");
+	target.born_ms += 60000;
+	target.sequence = 0;
+	cr_expect_eq(heartbeat(0, "i-1", "ready"), 200);
+	cr_expect_eq(call(0), 200, "after one heartbeat");
+	target.born_ms -= 60000;
+	target.sequence = 50;
+	cr_expect_eq(heartbeat(0, "i-1", "draining"), 200);
+	cr_expect_eq(call(0), 200, "a late word of the start before");
+}
+
 /*
  * Symptom: versions stop coming, or requests fail, after a fault of the store.
  * Sequence: the named fault begins while nodes serve; requests go on; it ends;
