route: the node beside an upstream tells of its errors with each answer

Cause: a caller sees its own requests only; where a pair of nodes exchanges less than one a second, an upstream that fails most of them kept its share for the whole of a 20 s fault. The node beside it sees them all: the share of errors goes along with each answer (one number of a frame), and one answer is enough for a caller.

--- a/src/call/attempt_test.c
+++ b/src/call/attempt_test.c
@@ -288,19 +288,19 @@
 {
 	static const struct {
 		const char *name;
-		bool repeatable;
 		double tokens;
 		double error_tokens;
-		uint32_t attempts_max;
 		int64_t now_us;
+		uint32_t attempts_max;
 		enum attempt_action_type action;
+		bool repeatable;
 	} cases[] = {
-		{ "a read", true, 2, 1, 2, 0, ATTEMPT_TRY },
-		{ "may run once only", false, 2, 1, 2, 0, ATTEMPT_REPLY },
-		{ "no token", true, 0.5, 1, 2, 0, ATTEMPT_REPLY },
-		{ "no token for errors", true, 2, 0.5, 2, 0, ATTEMPT_REPLY },
-		{ "no attempt left", true, 2, 1, 1, 0, ATTEMPT_REPLY },
-		{ "no time left", true, 2, 1, 2, DEADLINE_US, ATTEMPT_REPLY },
+		{ "a read", 2, 1, 0, 2, ATTEMPT_TRY, true },
+		{ "may run once only", 2, 1, 0, 2, ATTEMPT_REPLY, false },
+		{ "no token", 0.5, 1, 0, 2, ATTEMPT_REPLY, true },
+		{ "no token for errors", 2, 0.5, 0, 2, ATTEMPT_REPLY, true },
+		{ "no attempt left", 2, 1, 0, 1, ATTEMPT_REPLY, true },
+		{ "no time left", 2, 1, DEADLINE_US, 2, ATTEMPT_REPLY, true },
 	};
 	const struct attempt_event opened = OPENED;
 	const struct attempt_event error = { .type = ATTEMPT_EVENT_ANSWERED,
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -310,6 +310,16 @@
 	call_free(call);
 }
 
+/* What the node beside the upstream told of it with its answer. */
+static void take_report(const struct call *call)
+{
+	const struct endpoint_report report = {
+		.error_share = call->answer.error_share,
+	};
+
+	router_report(call->caller->options.router, call->endpoint, &report);
+}
+
 static void reply(struct call *call)
 {
 	const struct assembly *answer = &call->answer;
@@ -324,6 +334,7 @@
 	};
 	int64_t total_us = clock_monotonic_us() - call->started_us;
 
+	take_report(call);
 	counter_add(&ran, 1);
 	histogram_add(&total_time, total_us);
 	histogram_add(&added_time, total_us - answer->service_us);
@@ -338,6 +349,8 @@
 
 static void try_elsewhere(struct call *call, enum call_reason reason)
 {
+	if (reason == CALL_UPSTREAM_ERROR)
+		take_report(call);
 	if (reason == CALL_UPSTREAM_ERROR)
 		call_leave_endpoint(call, ENDPOINT_ERROR, call->answer.load,
 				    call_reason_name(reason));
--- a/src/call/calling.h
+++ b/src/call/calling.h
@@ -22,6 +22,7 @@
 	bool begun;
 	uint32_t status;
 	uint32_t service_us;
+	double error_share;
 	uint64_t body_size;
 	double load;
 	struct buffer headers;
--- a/src/call/frames.c
+++ b/src/call/frames.c
@@ -7,7 +7,7 @@
 	LOAD_MAX = 1000 * MILLI,
 	BODY_MAX_BYTES = 1 << 30,
 	REQUEST_FIELDS = 16,
-	ANSWER_FIELDS = 6,
+	ANSWER_FIELDS = 7,
 	REFUSAL_FIELDS = 4,
 	PART_FIELDS = 2,
 };
@@ -34,6 +34,17 @@
 	return true;
 }
 
+static bool decode_share(const msgpack_object *object, double *value,
+			 const char *what, struct error *err)
+{
+	if (!decode_milli(object, value, what, err))
+		return false;
+	if (*value <= 1)
+		return true;
+	error_set(err, ERROR_PROTOCOL, "%s are more than all", what);
+	return false;
+}
+
 static void encode_run(struct encoder *encoder, const struct call_bytes *bytes)
 {
 	encode_bytes(encoder, bytes->data, bytes->size);
@@ -201,6 +212,7 @@
 	encode_uint(encoder, answer->body_size);
 	encode_run(encoder, &answer->part);
 	encode_uint(encoder, answer->service_us);
+	encode_milli(encoder, answer->error_share);
 }
 
 static bool decode_answer(const msgpack_object *f, struct call_answer *answer,
@@ -216,7 +228,8 @@
 	       decode_run(&f[4], CALL_PART_BYTES, &answer->part, "body", err) &&
 	       check_first_part(answer->body_size, answer->part.size, err) &&
 	       decode_small(&f[5], UINT32_MAX, &answer->service_us,
-			    "service time", err);
+			    "service time", err) &&
+	       decode_share(&f[6], &answer->error_share, "errors", err);
 }
 
 static bool decode_part(const msgpack_object *f, struct call_part *part,
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -327,6 +327,8 @@
 			const char *id, const struct address *address)
 {
 	server->has_upstream = address != NULL;
+	if (!address || strcmp(server->upstream_id, id) != 0)
+		server->error_share = 0;
 	if (!address)
 		return;
 	server->upstream = *address;
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -92,6 +92,7 @@
 	struct serving *servings;
 	uint32_t serving_count;
 	uint32_t refused_count; /* connections to it, in a row */
+	double error_share;	/* of its answers of late, those of 5xx */
 	size_t held_bytes;
 	struct encoder encoder;
 	struct deferred pump;
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -25,6 +25,10 @@
 
 enum { STATUS_SERVER_ERROR = 500 };
 
+/* Weight of one answer in the share of errors: a third of the answers of the
+ * last few seconds show at tens of requests a second. */
+#define ERROR_WEIGHT (1.0 / 16)
+
 static int64_t now(const struct server *server)
 {
 	return loop_now_us(server->options.loop);
@@ -219,6 +223,12 @@
 		signs->another(id, signs->data);
 }
 
+static void learn_error(struct server *server, bool error)
+{
+	server->error_share +=
+		((error ? 1 : 0) - server->error_share) * ERROR_WEIGHT;
+}
+
 static void upstream_done(const struct http_answer *answer, void *data)
 {
 	struct serving *serving = data;
@@ -239,10 +249,13 @@
 		    call_outcome_name(end_of(&judgement.outcome),
 				      answer->status),
 		    took_us);
-	if (judgement.answered)
+	if (judgement.answered) {
+		learn_error(server, answer->status >= STATUS_SERVER_ERROR);
 		kept = upstream_keep(server->options.names, answer,
 				     !strcmp(serving->method, "HEAD"), took_us,
 				     &kept_bytes);
+		kept->error_share = server->error_share;
+	}
 	serving_end(serving, &judgement.outcome, kept, kept_bytes);
 	note_signs(server, answer);
 	serving_run_gate(server);
--- a/src/call/serving.h
+++ b/src/call/serving.h
@@ -50,6 +50,7 @@
 struct kept_answer {
 	uint32_t status;
 	uint32_t service_us;
+	double error_share;
 	size_t headers_bytes;
 	size_t body_bytes;
 	uint8_t bytes[];
--- a/src/route/balance.c
+++ b/src/route/balance.c
@@ -364,8 +364,9 @@
 	struct pool *pool = endpoint->pool;
 	double sample = error ? 1 : 0;
 
-	endpoint->error_share +=
-		(sample - endpoint->error_share) * ERROR_WEIGHT;
+	if (!endpoint->reports_errors)
+		endpoint->error_share +=
+			(sample - endpoint->error_share) * ERROR_WEIGHT;
 	if (pool)
 		pool->error_share +=
 			(sample - pool->error_share) * POOL_ERROR_WEIGHT;
@@ -384,15 +385,20 @@
 	       endpoint->error_share >= pool->error_share + ERROR_SHARE_FAULTY;
 }
 
-/* An answer that is no error. Of a faulty one that proves little: it answers
- * some requests well. */
-static void learn_answered(struct endpoint *endpoint)
+/* An answer that is no error proves little of a faulty one: some it answers
+ * well. */
+static void learn_answered(struct random *random, struct endpoint *endpoint,
+			   bool error, int64_t now_us)
 {
 	endpoint->refusals = 0;
-	if (is_faulty(endpoint))
-		return;
-	endpoint->failures = 0;
-	endpoint->avoid_until_us = 0;
+	learn_errors(endpoint, error);
+	if (is_faulty(endpoint)) {
+		avoid(random, endpoint, ++endpoint->failures, FAILED_AVOID_US,
+		      ERROR_AVOID_MAX_US, now_us);
+	} else if (!error) {
+		endpoint->failures = 0;
+		endpoint->avoid_until_us = 0;
+	}
 }
 
 void balance_learn(struct random *random, struct endpoint *endpoint,
@@ -403,15 +409,10 @@
 	switch (result) {
 	case ENDPOINT_ANSWERED:
 		learn_service(endpoint, load, latency_us, now_us);
-		learn_errors(endpoint, false);
-		learn_answered(endpoint);
+		learn_answered(random, endpoint, false, now_us);
 		break;
 	case ENDPOINT_ERROR:
-		endpoint->refusals = 0;
-		learn_errors(endpoint, true);
-		if (is_faulty(endpoint))
-			avoid(random, endpoint, ++endpoint->failures,
-			      FAILED_AVOID_US, ERROR_AVOID_MAX_US, now_us);
+		learn_answered(random, endpoint, true, now_us);
 		break;
 	case ENDPOINT_REFUSED:
 		endpoint->failures = 0;
--- a/src/route/balance_test.c
+++ b/src/route/balance_test.c
@@ -51,6 +51,8 @@
 	enum oddity oddity;
 	bool blind;	   /* the baseline: any endpoint, at random */
 	bool takes_errors; /* an error counts as an answer like any other */
+	bool reports;	   /* each answer tells of all requests there */
+	double error_share[ENDPOINTS];
 	int64_t now_us;
 	uint32_t sent[ENDPOINTS];
 	uint32_t refused;
@@ -168,12 +170,25 @@
 	return (double)(calls_at(fleet, call->place) + 1) / SLOTS;
 }
 
+/* What the node beside the endpoint has seen, with the answer that it is. */
+static void report(struct fleet *fleet, const struct call *call)
+{
+	double *errors = &fleet->error_share[call->place];
+	struct endpoint_report report;
+
+	*errors += ((call->result == ENDPOINT_ERROR) - *errors) / 16;
+	report.error_share = *errors;
+	router_report(&fleet->routers[call->caller], call->endpoint, &report);
+}
+
 static void finish(struct fleet *fleet, uint32_t which)
 {
 	struct call call = fleet->calls[which];
 	int64_t latency_us = fleet->now_us - call.began_us;
 
 	fleet->calls[which] = fleet->calls[--fleet->call_count];
+	if (fleet->reports)
+		report(fleet, &call);
 	endpoint_done(&fleet->routers[call.caller], call.endpoint, call.result,
 		      told_load(fleet, &call), latency_us, fleet->now_us);
 	fleet->refused += call.result == ENDPOINT_REFUSED;
@@ -361,6 +376,35 @@
 	free(fleet);
 }
 
+/*
+ * Symptom: in a large fleet a faulty upstream goes on getting its share for
+ * minutes.
+ * Sequence: many callers with little load each; one upstream answers six of
+ * ten with an error.
+ * Cause: each caller has to see it for itself, from a few requests a minute.
+ */
+Test(balance, what_one_answer_tells_is_enough_for_all_callers)
+{
+	struct fleet *fleet = malloc(sizeof(*fleet));
+	uint32_t without;
+	uint64_t seed;
+
+	for (seed = 1; seed <= 3; seed++) {
+		*fleet = (struct fleet){ .oddity = ERRORS,
+					 .callers = CALLERS_MAX };
+		run(fleet, 400, seed);
+		without = fleet->errors;
+		*fleet = (struct fleet){ .oddity = ERRORS,
+					 .callers = CALLERS_MAX,
+					 .reports = true };
+		run(fleet, 400, seed);
+		printf("seed %lu: %u errors, %u without reports\n",
+		       (unsigned long)seed, fleet->errors, without);
+		cr_expect_lt(10 * fleet->errors, 9 * without);
+	}
+	free(fleet);
+}
+
 static void leave(struct fleet *fleet, uint32_t place)
 {
 	const char name[] = { (char)('a' + place), '\0' };
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -236,6 +236,7 @@
 	endpoint->refusals = 0;
 	endpoint->failures = 0;
 	endpoint->error_share = 0;
+	endpoint->reports_errors = false;
 	endpoint->avoid_until_us = 0;
 }
 
@@ -424,6 +425,15 @@
 	return endpoint;
 }
 
+void router_report(const struct router *router, struct endpoint *endpoint,
+		   const struct endpoint_report *report)
+{
+	if (!router->avoids_errors)
+		return;
+	endpoint->error_share = report->error_share;
+	endpoint->reports_errors = true;
+}
+
 void endpoint_done(struct router *router, struct endpoint *endpoint,
 		   enum endpoint_result result, double load, int64_t latency_us,
 		   int64_t now_us)
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -42,6 +42,7 @@
  * @refusals: in a row
  * @failures: in a row
  * @error_share: of its answers those that told of a failure; moving average
+ * @reports_errors: its own node tells of them, over all requests there
  * @avoid_until_us: not chosen before, while others are left
  * @pool: of its service; NULL while it has no upstream
  * @place: index in the pool
@@ -62,6 +63,7 @@
 	uint32_t refusals;
 	uint32_t failures;
 	double error_share;
+	bool reports_errors;
 	int64_t avoid_until_us;
 	struct pool *pool;
 	uint32_t place;
@@ -212,6 +214,23 @@
  */
 struct endpoint *router_pick(struct router *router, const struct pick *pick);
 
+/**
+ * struct endpoint_report - what the node beside an upstream tells of it
+ * @error_share: of its answers of late those that told of a failure, 0 to 1
+ */
+struct endpoint_report {
+	double error_share;
+};
+
+/**
+ * router_report() - take in what came with an answer
+ *
+ * That node sees all requests of its upstream, a caller only its own: with
+ * many callers each would need minutes to learn what one answer tells.
+ */
+void router_report(const struct router *router, struct endpoint *endpoint,
+		   const struct endpoint_report *report);
+
 /** enum endpoint_result - what an attempt taught about an endpoint. */
 enum endpoint_result {
 	ENDPOINT_ANSWERED,
