report: an account of a bad hour from the nodes' log lines

explain tells one request's story; what an hour lost, and why, had to be put together by hand. report counts, in one pass, what was in time, late, refused, failed or left, by service, kind, data centre and reason, and over time beside the changes of belief; tables or JSON. A call's line tells how late it was. explain and report share the reading of files.

--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -249,6 +249,13 @@
 		    took_us - call->answer.service_us);
 }
 
+/* How long past the time by which its answer was wanted; 0 if it was not. */
+static int64_t late_us(const struct call *call, int64_t now_us)
+{
+	return call->due_us && now_us > call->due_us ? now_us - call->due_us
+						     : 0;
+}
+
 /* The one line of a call beside its caller.
  * @status: of the upstream's answer; 0 if there is none */
 static void log_end(const struct call *call, const char *end,
@@ -267,6 +274,7 @@
 		LOG_NUMBER("version", (int64_t)call->config->version),
 		LOG_NUMBER("took_ms", (now_us - call->started_us) / US_PER_MS),
 		LOG_NUMBER("upstream_ms", call->answer.service_us / US_PER_MS),
+		LOG_NUMBER("late_ms", late_us(call, now_us) / US_PER_MS),
 		LOG_NUMBER("left_ms",
 			   (terms->deadline_us - now_us) / US_PER_MS),
 		LOG_TEXT("pass", passes[call->pass]),
--- a/src/node/command_explain.c
+++ b/src/node/command_explain.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -6,6 +5,7 @@
 
 #include "call/call_defs.h"
 #include "node/commands.h"
+#include "node/log_files.h"
 #include "operator/arguments.h"
 #include "operator/command.h"
 #include "operator/remote.h"
@@ -17,8 +17,6 @@
  * its lines in order, and the decision that gave it its end.
  */
 
-enum { LINE_MAX_SIZE = 16 * 1024, FILES_MAX = 1000 };
-
 static const char summary[] =
 	"Tell the story of one request from the log lines of the nodes that it\n"
 	"passed. Reads the files, or standard input if none are given; what\n"
@@ -45,8 +43,9 @@
 	return json_integer_value(json_object_get(line, name));
 }
 
-static void take_line(struct story *story, const char *text)
+static void take_line(const char *text, void *data)
 {
+	struct story *story = data;
 	const char *object = strchr(text, '{');
 	json_t *line;
 
@@ -59,30 +58,6 @@
 	json_decref(line);
 }
 
-static void read_lines(struct story *story, FILE *file)
-{
-	char *line = NULL;
-	size_t size = 0;
-
-	while (getline(&line, &size, file) >= 0)
-		take_line(story, line);
-	free(line);
-}
-
-static bool read_file(struct story *story, const char *path)
-{
-	FILE *file = fopen(path, "re");
-
-	if (!file) {
-		fprintf(stderr, "explain: cannot read %s: %s\n", path,
-			strerror(errno));
-		return false;
-	}
-	read_lines(story, file);
-	(void)fclose(file);
-	return true;
-}
-
 static int by_time(const void *a, const void *b)
 {
 	const json_t *const *left = a;
@@ -220,13 +195,9 @@
 
 static int explain(struct story *story, const struct arg_file *files, bool json)
 {
-	int i;
-
-	for (i = 0; i < files->count; i++)
-		if (!read_file(story, files->filename[i]))
-			return EXIT_STATUS_FAILED;
-	if (!files->count)
-		read_lines(story, stdin);
+	if (!log_files_read("explain", files->filename, files->count, take_line,
+			    story))
+		return EXIT_STATUS_FAILED;
 	if (json_array_size(story->lines))
 		return tell(story, json);
 	fprintf(stderr, "explain: no line tells of request %s\n", story->id);
@@ -237,7 +208,7 @@
 {
 	struct arg_str *id = arg_str1(NULL, NULL, "ID", "the request's id");
 	struct arg_file *files =
-		arg_filen(NULL, NULL, "FILE", 0, FILES_MAX, "log files");
+		arg_filen(NULL, NULL, "FILE", 0, LOG_FILES_MAX, "log files");
 	struct story story;
 	struct arguments args;
 	int status;
--- /dev/null
+++ b/src/node/command_report.c
@@ -0,0 +1,86 @@
+#include <stdio.h>
+
+#include "node/commands.h"
+#include "node/log_files.h"
+#include "node/report.h"
+#include "operator/arguments.h"
+#include "operator/command.h"
+#include "operator/remote.h"
+
+/**
+ * DOC: command report
+ *
+ * The account of a bad hour from the log lines of any number of nodes.
+ */
+
+enum { SPAN_S = 10, SPAN_MAX_S = 86400 };
+
+static const char summary[] =
+	"Account for the requests that were not served in time, from the log\n"
+	"lines of nodes: by service, kind, data centre and reason, and over\n"
+	"time beside what changed in what the nodes believed. Reads the files,\n"
+	"or standard input if none are given; what stands before the JSON\n"
+	"object of a line is skipped. Only lines of the callers' nodes count,\n"
+	"so give those of all nodes.";
+
+static void take_line(const char *line, void *data)
+{
+	report_take(data, line);
+}
+
+static int tell(struct report *report, bool json)
+{
+	if (!report->requests) {
+		fprintf(stderr, "report: no line tells of a request\n");
+		return EXIT_STATUS_INVALID;
+	}
+	if (json) {
+		json_t *told = report_json(report);
+
+		remote_print_json(told);
+		json_decref(told);
+	} else {
+		report_print(report, stdout);
+	}
+	return EXIT_STATUS_OK;
+}
+
+static int account(const struct arg_file *files, int span_s, bool json)
+{
+	struct report report;
+	int status = EXIT_STATUS_FAILED;
+
+	report_init(&report, span_s);
+	if (log_files_read("report", files->filename, files->count, take_line,
+			   &report))
+		status = tell(&report, json);
+	report_finish(&report);
+	return status;
+}
+
+int command_report(int argc, char **argv)
+{
+	struct arg_int *span =
+		arg_int0(NULL, "every", "SECONDS", "length of a span (10)");
+	struct arg_file *files =
+		arg_filen(NULL, NULL, "FILE", 0, LOG_FILES_MAX, "log files");
+	struct arguments args;
+	int span_s;
+	int status;
+
+	arguments_init(&args, "report", summary, ARGUMENTS_LOCAL);
+	arguments_add(&args, span);
+	arguments_add(&args, files);
+	if (arguments_parse(&args, argc, argv, &status)) {
+		span_s = span->count ? span->ival[0] : SPAN_S;
+		if (span_s >= 1 && span_s <= SPAN_MAX_S) {
+			status = account(files, span_s, args.json->count > 0);
+		} else {
+			fprintf(stderr, "report: --every must be 1 to %d\n",
+				SPAN_MAX_S);
+			status = EXIT_STATUS_USAGE;
+		}
+	}
+	arguments_finish(&args);
+	return status;
+}
--- a/src/node/commands.c
+++ b/src/node/commands.c
@@ -16,6 +16,7 @@
 	COMMAND_CHECK,
 	COMMAND_SETTINGS,
 	COMMAND_EXPLAIN,
+	COMMAND_REPORT,
 	COMMAND_COUNT,
 };
 
@@ -36,6 +37,9 @@
 	[COMMAND_SETTINGS] = { "settings", "print all settings of a node" },
 	[COMMAND_EXPLAIN] = { "explain",
 			      "tell the story of one request from logs" },
+	[COMMAND_REPORT] = { "report",
+			     "account for late, refused and failed requests "
+			     "from logs" },
 };
 
 static void print_usage(FILE *out)
@@ -78,6 +82,8 @@
 		return command_settings(argc, argv);
 	case COMMAND_EXPLAIN:
 		return command_explain(argc, argv);
+	case COMMAND_REPORT:
+		return command_report(argc, argv);
 	case COMMAND_COUNT:
 		break;
 	}
--- a/src/node/commands.h
+++ b/src/node/commands.h
@@ -25,6 +25,9 @@
 /** command_explain() - the story of one request, from log lines. */
 int command_explain(int argc, char **argv);
 
+/** command_report() - the account of many requests, from log lines. */
+int command_report(int argc, char **argv);
+
 /** command_settings() - print the reference of all settings. */
 int command_settings(int argc, char **argv);
 
--- a/test/functional/golden_test.c
+++ b/test/functional/golden_test.c
@@ -312,3 +312,37 @@
 	session_run(&session, "explain 71365a7de574db4b /nonexistent");
 	session_expect(&session, "explain");
 }
+
+#define LATE_LINE                                                              \
+	"{\"time\":\"2026-03-10T06:09:21.020Z\",\"level\":\"info\","           \
+	"\"slice\":\"call\",\"event\":\"call\",\"data_centre\":\"dc-a\","      \
+	"\"instance\":\"node-a-2\",\"request\":\"0c1\",\"end\":\"answered\","  \
+	"\"verdict\":\"ran\",\"status\":200,\"service\":\"cellar-view\","      \
+	"\"kind\":\"today\",\"version\":73,\"took_ms\":540,"                   \
+	"\"upstream_ms\":120,\"late_ms\":40,\"left_ms\":360,"                  \
+	"\"pass\":\"in-time\",\"tries\":1}\n"
+#define CHANGE_LINE                                                            \
+	"{\"time\":\"2026-03-10T06:09:12.500Z\",\"level\":\"info\","           \
+	"\"slice\":\"config\",\"event\":\"version_in_force\","                 \
+	"\"version\":73}\n"
+
+Test(golden, a_bad_hour_is_accounted_for, .init = setup, .fini = teardown,
+     .timeout = 60)
+{
+	session_file(&session, "nodes.log",
+		     CALL_LINE
+		     "not a line of a node\n" SERVED_LINE LATE_LINE
+		     "{\"time\":\"2026-03-1\n" CHANGE_LINE TURNED_AWAY_LINE);
+	session_file(&session, "empty.log", "");
+	session_note(&session, "who was not served in time, why and when");
+	session_run(&session, "report @nodes.log");
+	session_note(&session, "by the minute, for machines");
+	session_run(&session, "report --json --every 60 @nodes.log");
+	session_note(&session, "nothing to account for");
+	session_run(&session, "report @empty.log");
+	session_note(&session, "a span that is none");
+	session_run(&session, "report --every 0 @nodes.log");
+	session_note(&session, "a file that is not there");
+	session_run(&session, "report /nonexistent");
+	session_expect(&session, "report");
+}
