--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -355,16 +355,18 @@
 	call_free(call);
 }
 
+/* The present try gave nothing to hand on; another upstream may do better. */
 static void try_elsewhere(struct call *call, enum call_reason reason)
 {
-	if (reason == CALL_UPSTREAM_ERROR)
+	const char *name = call_reason_name(reason);
+
+	if (reason == CALL_UPSTREAM_ERROR) {
 		take_report(call);
-	if (reason == CALL_UPSTREAM_ERROR)
 		call_leave_endpoint(call, ENDPOINT_ERROR, call->answer.load,
-				    call_reason_name(reason));
-	else
-		call_leave_endpoint(call, ENDPOINT_FAILED, -1,
-				    call_reason_name(reason));
+				    name);
+	} else {
+		call_leave_endpoint(call, ENDPOINT_FAILED, -1, name);
+	}
 	call_begin_try(call);
 }
 
