--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -10,7 +10,7 @@
 
 if(FUZZ)
 	foreach(NAME frame hub head settings profile path announce
-			caller)
+			caller heartbeat document directory packed log)
 		string(TOUPPER ${NAME} UPPER)
 		add_executable(fuzz_${NAME} test/fuzz/fuzzer.c ${FUZZ_SOURCES})
 		target_include_directories(fuzz_${NAME} PRIVATE test)
--- a/src/node/command_report.c
+++ b/src/node/command_report.c
@@ -2,7 +2,7 @@
 
 #include "node/commands.h"
 #include "node/log_files.h"
-#include "node/report.h"
+#include "node/tally.h"
 #include "operator/arguments.h"
 #include "operator/command.h"
 #include "operator/remote.h"
@@ -25,36 +25,36 @@
 
 static void take_line(const char *line, void *data)
 {
-	report_take(data, line);
+	tally_take(data, line);
 }
 
-static int tell(struct report *report, bool json)
+static int tell(struct tally *tally, bool json)
 {
-	if (!report->requests) {
+	if (!tally->requests) {
 		fprintf(stderr, "report: no line tells of a request\n");
 		return EXIT_STATUS_INVALID;
 	}
 	if (json) {
-		json_t *told = report_json(report);
+		json_t *told = tally_json(tally);
 
 		remote_print_json(told);
 		json_decref(told);
 	} else {
-		report_print(report, stdout);
+		tally_print(tally, stdout);
 	}
 	return EXIT_STATUS_OK;
 }
 
 static int account(const struct arg_file *files, int span_s, bool json)
 {
-	struct report report;
+	struct tally tally;
 	int status = EXIT_STATUS_FAILED;
 
-	report_init(&report, span_s);
+	tally_init(&tally, span_s);
 	if (log_files_read("report", files->filename, files->count, take_line,
-			   &report))
-		status = tell(&report, json);
-	report_finish(&report);
+			   &tally))
+		status = tell(&tally, json);
+	tally_finish(&tally);
 	return status;
 }
 
--- a/src/node/report.c
+++ b/src/node/tally.c
@@ -1,4 +1,4 @@
-#include "node/report.h"
+#include "node/tally.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
@@ -7,9 +7,9 @@
 
 enum { STATUS_SERVER_ERROR = 500, TIME_TEXT_SIZE = 32 };
 
-static const char *const outcome_names[REPORT_OUTCOMES] = { "in-time", "late",
-							    "refused", "failed",
-							    "left" };
+static const char *const outcome_names[TALLY_OUTCOMES] = { "in-time", "late",
+							   "refused", "failed",
+							   "left" };
 
 /* Events that change what a node believes; some slices tell the same, too. */
 static const struct {
@@ -25,15 +25,15 @@
 	{ "membership", "data_centre_reachability" },
 };
 
-void report_init(struct report *report, int64_t span_s)
+void tally_init(struct tally *tally, int64_t span_s)
 {
-	memset(report, 0, sizeof(*report));
-	report->span_s = span_s > 0 ? span_s : 1;
+	memset(tally, 0, sizeof(*tally));
+	tally->span_s = span_s > 0 ? span_s : 1;
 }
 
-static void free_rows(struct report_row *row)
+static void free_rows(struct tally_row *row)
 {
-	struct report_row *next;
+	struct tally_row *next;
 
 	for (; row; row = next) {
 		next = row->hh.next;
@@ -41,9 +41,9 @@
 	}
 }
 
-static void free_times(struct report_time *time)
+static void free_times(struct tally_time *time)
 {
-	struct report_time *next;
+	struct tally_time *next;
 
 	for (; time; time = next) {
 		next = time->hh.next;
@@ -51,13 +51,13 @@
 	}
 }
 
-void report_finish(struct report *report)
+void tally_finish(struct tally *tally)
 {
-	struct report_row *rows = report->rows;
-	struct report_time *times = report->times;
+	struct tally_row *rows = tally->rows;
+	struct tally_time *times = tally->times;
 
-	HASH_CLEAR(hh, report->rows);
-	HASH_CLEAR(hh, report->times);
+	HASH_CLEAR(hh, tally->rows);
+	HASH_CLEAR(hh, tally->times);
 	free_rows(rows);
 	free_times(times);
 }
@@ -84,36 +84,36 @@
 	return timegm(&parts);
 }
 
-static struct report_time *time_at(struct report *report, int64_t at_s)
+static struct tally_time *time_at(struct tally *tally, int64_t at_s)
 {
-	int64_t begin_s = at_s - at_s % report->span_s;
-	struct report_time *time;
+	int64_t begin_s = at_s - at_s % tally->span_s;
+	struct tally_time *time;
 
-	HASH_FIND(hh, report->times, &begin_s, sizeof(begin_s), time);
-	if (time || HASH_COUNT(report->times) >= REPORT_TIMES_MAX)
+	HASH_FIND(hh, tally->times, &begin_s, sizeof(begin_s), time);
+	if (time || HASH_COUNT(tally->times) >= TALLY_TIMES_MAX)
 		return time;
 	time = calloc(1, sizeof(*time));
 	if (!time)
 		abort();
 	time->at_s = begin_s;
-	HASH_ADD(hh, report->times, at_s, sizeof(time->at_s), time);
+	HASH_ADD(hh, tally->times, at_s, sizeof(time->at_s), time);
 	return time;
 }
 
 /* All bytes of a place are compared, so those not used must be zero. */
-static struct report_row *row_at(struct report *report,
-				 const struct report_place *place)
+static struct tally_row *row_at(struct tally *tally,
+				const struct tally_place *place)
 {
-	struct report_row *row;
+	struct tally_row *row;
 
-	HASH_FIND(hh, report->rows, place, sizeof(*place), row);
-	if (row || HASH_COUNT(report->rows) >= REPORT_ROWS_MAX)
+	HASH_FIND(hh, tally->rows, place, sizeof(*place), row);
+	if (row || HASH_COUNT(tally->rows) >= TALLY_ROWS_MAX)
 		return row;
 	row = calloc(1, sizeof(*row));
 	if (!row)
 		abort();
 	memcpy(&row->place, place, sizeof(*place));
-	HASH_ADD(hh, report->rows, place, sizeof(row->place), row);
+	HASH_ADD(hh, tally->rows, place, sizeof(row->place), row);
 	return row;
 }
 
@@ -134,35 +134,35 @@
 	return "queue";
 }
 
-static enum report_outcome judge(const json_t *line, const char **reason)
+static enum tally_outcome judge(const json_t *line, const char **reason)
 {
 	int64_t late_ms = number_of(line, "late_ms");
 	const char *end = text_of(line, "end");
 
 	*reason = end;
 	if (!strcmp(end, call_reason_name(CALL_CANCELLED)))
-		return REPORT_LEFT;
+		return TALLY_LEFT;
 	if (strcmp(end, CALL_ANSWERED) != 0)
 		return strcmp(text_of(line, "verdict"),
 			      verdict_name(VERDICT_NOT_RUN)) != 0
-			       ? REPORT_FAILED
-			       : REPORT_REFUSED;
+			       ? TALLY_FAILED
+			       : TALLY_REFUSED;
 	if (number_of(line, "status") >= STATUS_SERVER_ERROR) {
 		*reason = call_reason_name(CALL_UPSTREAM_ERROR);
-		return REPORT_FAILED;
+		return TALLY_FAILED;
 	}
 	if (late_ms <= 0)
-		return REPORT_IN_TIME;
+		return TALLY_IN_TIME;
 	*reason = why_late(line, late_ms);
-	return REPORT_LATE;
+	return TALLY_LATE;
 }
 
-static void take_call(struct report *report, const json_t *line)
+static void take_call(struct tally *tally, const json_t *line)
 {
-	struct report_place place = { 0 };
+	struct tally_place place = { 0 };
 	const char *reason;
-	struct report_row *row;
-	struct report_time *time;
+	struct tally_row *row;
+	struct tally_time *time;
 
 	place.outcome = judge(line, &reason);
 	set_text(place.service, sizeof(place.service),
@@ -171,16 +171,16 @@
 	set_text(place.data_centre, sizeof(place.data_centre),
 		 text_of(line, "data_centre"));
 	set_text(place.reason, sizeof(place.reason), reason);
-	report->requests++;
-	report->totals[place.outcome]++;
-	row = row_at(report, &place);
-	time = time_at(report, time_of(line));
+	tally->requests++;
+	tally->totals[place.outcome]++;
+	row = row_at(tally, &place);
+	time = time_at(tally, time_of(line));
 	if (row)
 		row->count++;
 	if (time)
 		time->counts[place.outcome]++;
 	if (!row || !time)
-		report->unlisted++;
+		tally->unlisted++;
 }
 
 static bool is_belief(const json_t *line)
@@ -196,41 +196,41 @@
 	return false;
 }
 
-void report_take(struct report *report, const char *line)
+void tally_take(struct tally *tally, const char *line)
 {
 	const char *text = strchr(line, '{');
-	struct report_time *time;
+	struct tally_time *time;
 	json_t *object;
 
 	if (!text)
 		return;
 	object = json_loads(text, JSON_DISABLE_EOF_CHECK, NULL);
 	if (!json_is_object(object) || time_of(object) < 0) {
-		report->damaged++;
+		tally->damaged++;
 		json_decref(object);
 		return;
 	}
 	if (!strcmp(text_of(object, "event"), "call")) {
-		take_call(report, object);
+		take_call(tally, object);
 	} else if (is_belief(object)) {
-		time = time_at(report, time_of(object));
+		time = time_at(tally, time_of(object));
 		if (time)
 			time->beliefs++;
 		else
-			report->unlisted++;
+			tally->unlisted++;
 	}
 	json_decref(object);
 }
 
 /* Worst first; equal ones in the order of their names. */
-static int by_count(const struct report_row *a, const struct report_row *b)
+static int by_count(const struct tally_row *a, const struct tally_row *b)
 {
 	if (a->count != b->count)
 		return a->count < b->count ? 1 : -1;
 	return memcmp(&a->place, &b->place, sizeof(a->place));
 }
 
-static int by_time(const struct report_time *a, const struct report_time *b)
+static int by_time(const struct tally_time *a, const struct tally_time *b)
 {
 	return a->at_s < b->at_s ? -1 : a->at_s > b->at_s;
 }
@@ -244,26 +244,26 @@
 	strftime(text, TIME_TEXT_SIZE, "%Y-%m-%dT%H:%M:%SZ", &parts);
 }
 
-static json_t *totals_json(const uint64_t counts[REPORT_OUTCOMES])
+static json_t *totals_json(const uint64_t counts[TALLY_OUTCOMES])
 {
 	json_t *totals = json_object();
 	int i;
 
-	for (i = 0; i < REPORT_OUTCOMES; i++)
+	for (i = 0; i < TALLY_OUTCOMES; i++)
 		json_object_set_new(totals, outcome_names[i],
 				    json_integer((json_int_t)counts[i]));
 	return totals;
 }
 
-static json_t *rows_json(const struct report *report)
+static json_t *rows_json(const struct tally *tally)
 {
 	json_t *list = json_array();
-	const struct report_row *row;
+	const struct tally_row *row;
 
-	for (row = report->rows; row; row = row->hh.next) {
-		const struct report_place *place = &row->place;
+	for (row = tally->rows; row; row = row->hh.next) {
+		const struct tally_place *place = &row->place;
 
-		if (place->outcome == REPORT_IN_TIME)
+		if (place->outcome == TALLY_IN_TIME)
 			continue;
 		json_array_append_new(
 			list,
@@ -277,12 +277,12 @@
 	return list;
 }
 
-static json_t *times_json(const struct report *report)
+static json_t *times_json(const struct tally *tally)
 {
 	json_t *list = json_array();
-	const struct report_time *time;
+	const struct tally_time *time;
 
-	for (time = report->times; time; time = time->hh.next) {
+	for (time = tally->times; time; time = time->hh.next) {
 		json_t *entry = totals_json(time->counts);
 		char text[TIME_TEXT_SIZE];
 
@@ -295,47 +295,47 @@
 	return list;
 }
 
-static void sort(struct report *report)
+static void sort(struct tally *tally)
 {
-	HASH_SORT(report->rows, by_count);
-	HASH_SORT(report->times, by_time);
+	HASH_SORT(tally->rows, by_count);
+	HASH_SORT(tally->times, by_time);
 }
 
-json_t *report_json(struct report *report)
+json_t *tally_json(struct tally *tally)
 {
-	sort(report);
+	sort(tally);
 	return json_pack("{s:I, s:I, s:I, s:o, s:o, s:o}", "requests",
-			 (json_int_t)report->requests, "damaged_lines",
-			 (json_int_t)report->damaged, "unlisted",
-			 (json_int_t)report->unlisted, "totals",
-			 totals_json(report->totals), "causes",
-			 rows_json(report), "times", times_json(report));
+			 (json_int_t)tally->requests, "damaged_lines",
+			 (json_int_t)tally->damaged, "unlisted",
+			 (json_int_t)tally->unlisted, "totals",
+			 totals_json(tally->totals), "causes", rows_json(tally),
+			 "times", times_json(tally));
 }
 
-static void print_totals(const struct report *report, FILE *out)
+static void print_totals(const struct tally *tally, FILE *out)
 {
 	int i;
 
-	fprintf(out, "%" PRIu64 " requests:", report->requests);
-	for (i = 0; i < REPORT_OUTCOMES; i++)
-		fprintf(out, " %" PRIu64 " %s%s", report->totals[i],
-			outcome_names[i], i + 1 < REPORT_OUTCOMES ? "," : "\n");
-	if (report->damaged)
+	fprintf(out, "%" PRIu64 " requests:", tally->requests);
+	for (i = 0; i < TALLY_OUTCOMES; i++)
+		fprintf(out, " %" PRIu64 " %s%s", tally->totals[i],
+			outcome_names[i], i + 1 < TALLY_OUTCOMES ? "," : "\n");
+	if (tally->damaged)
 		fprintf(out, "%" PRIu64 " lines could not be read\n",
-			report->damaged);
-	if (report->unlisted)
+			tally->damaged);
+	if (tally->unlisted)
 		fprintf(out, "%" PRIu64 " lines had no room below\n",
-			report->unlisted);
+			tally->unlisted);
 }
 
-static void print_rows(const struct report *report, FILE *out)
+static void print_rows(const struct tally *tally, FILE *out)
 {
-	const struct report_row *row;
+	const struct tally_row *row;
 
 	fprintf(out, "\n%8s  %-8s %-16s %-16s %-20s %s\n", "count", "outcome",
 		"reason", "service", "kind", "data centre");
-	for (row = report->rows; row; row = row->hh.next)
-		if (row->place.outcome != REPORT_IN_TIME)
+	for (row = tally->rows; row; row = row->hh.next)
+		if (row->place.outcome != TALLY_IN_TIME)
 			fprintf(out,
 				"%8" PRIu64 "  %-8s %-16s %-16s %-20s %s\n",
 				row->count, outcome_names[row->place.outcome],
@@ -343,30 +343,30 @@
 				row->place.kind, row->place.data_centre);
 }
 
-static void print_times(const struct report *report, FILE *out)
+static void print_times(const struct tally *tally, FILE *out)
 {
-	const struct report_time *time;
+	const struct tally_time *time;
 	int i;
 
 	fprintf(out, "\n%-20s", "from");
-	for (i = 0; i < REPORT_OUTCOMES; i++)
+	for (i = 0; i < TALLY_OUTCOMES; i++)
 		fprintf(out, " %8s", outcome_names[i]);
 	fprintf(out, " %8s\n", "changes");
-	for (time = report->times; time; time = time->hh.next) {
+	for (time = tally->times; time; time = time->hh.next) {
 		char text[TIME_TEXT_SIZE];
 
 		time_text(time->at_s, text);
 		fprintf(out, "%-20s", text);
-		for (i = 0; i < REPORT_OUTCOMES; i++)
+		for (i = 0; i < TALLY_OUTCOMES; i++)
 			fprintf(out, " %8" PRIu64, time->counts[i]);
 		fprintf(out, " %8" PRIu64 "\n", time->beliefs);
 	}
 }
 
-void report_print(struct report *report, FILE *out)
+void tally_print(struct tally *tally, FILE *out)
 {
-	sort(report);
-	print_totals(report, out);
-	print_rows(report, out);
-	print_times(report, out);
+	sort(tally);
+	print_totals(tally, out);
+	print_rows(tally, out);
+	print_times(tally, out);
 }
--- a/src/node/report_test.c
+++ b/src/node/tally_test.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "node/report.h"
+#include "node/tally.h"
 
 #define COUNT(array) (sizeof(array) / sizeof((array)[0]))
 #define LINE(time, end, more)                                                  \
@@ -11,57 +11,57 @@
 	"\"kind\":\"k\",\"end\":\"" end "\"," more "}\n"
 
 /* The end of a request as its caller's node wrote it, and what it is. */
-Test(report, each_request_has_an_outcome_and_a_reason)
+Test(tally, each_request_has_an_outcome_and_a_reason)
 {
 	static const struct {
 		const char *line;
-		enum report_outcome outcome;
+		enum tally_outcome outcome;
 		const char *reason;
 	} cases[] = {
 		{ LINE("10.0", "answered",
 		       "\"status\":200,\"took_ms\":90,\"late_ms\":0"),
-		  REPORT_IN_TIME, "answered" },
+		  TALLY_IN_TIME, "answered" },
 		{ LINE("10.0", "answered",
 		       "\"status\":404,\"took_ms\":9,\"late_ms\":0"),
-		  REPORT_IN_TIME, "answered" },
+		  TALLY_IN_TIME, "answered" },
 		{ LINE("10.0", "answered",
 		       "\"status\":200,\"took_ms\":700,\"late_ms\":100,"
 		       "\"upstream_ms\":650,\"tries\":1"),
-		  REPORT_LATE, "slow-upstream" },
+		  TALLY_LATE, "slow-upstream" },
 		{ LINE("10.0", "answered",
 		       "\"status\":200,\"took_ms\":700,\"late_ms\":100,"
 		       "\"upstream_ms\":250,\"tries\":1"),
-		  REPORT_LATE, "queue" },
+		  TALLY_LATE, "queue" },
 		{ LINE("10.0", "answered",
 		       "\"status\":200,\"took_ms\":700,\"late_ms\":100,"
 		       "\"upstream_ms\":250,\"tries\":2"),
-		  REPORT_LATE, "earlier-tries" },
+		  TALLY_LATE, "earlier-tries" },
 		{ LINE("10.0", "answered",
 		       "\"status\":500,\"took_ms\":9,\"late_ms\":0"),
-		  REPORT_FAILED, "upstream-error" },
+		  TALLY_FAILED, "upstream-error" },
 		{ LINE("10.0", "late", "\"verdict\":\"not-run\",\"status\":0"),
-		  REPORT_REFUSED, "late" },
+		  TALLY_REFUSED, "late" },
 		{ LINE("10.0", "deadline",
 		       "\"verdict\":\"may-have-run\",\"status\":0"),
-		  REPORT_FAILED, "deadline" },
+		  TALLY_FAILED, "deadline" },
 		{ LINE("10.0", "cancelled",
 		       "\"verdict\":\"may-have-run\",\"status\":0"),
-		  REPORT_LEFT, "cancelled" },
+		  TALLY_LEFT, "cancelled" },
 	};
 	size_t i;
 
 	for (i = 0; i < COUNT(cases); i++) {
-		struct report report;
+		struct tally tally;
 
-		report_init(&report, 10);
-		report_take(&report, cases[i].line);
-		cr_assert_eq(report.requests, 1, "case %zu", i);
-		cr_expect_eq(report.totals[cases[i].outcome], 1, "case %zu", i);
-		cr_expect_str_eq(report.rows->place.reason, cases[i].reason,
+		tally_init(&tally, 10);
+		tally_take(&tally, cases[i].line);
+		cr_assert_eq(tally.requests, 1, "case %zu", i);
+		cr_expect_eq(tally.totals[cases[i].outcome], 1, "case %zu", i);
+		cr_expect_str_eq(tally.rows->place.reason, cases[i].reason,
 				 "case %zu", i);
-		cr_expect_eq(report.times->counts[cases[i].outcome], 1,
+		cr_expect_eq(tally.times->counts[cases[i].outcome], 1,
 			     "case %zu", i);
-		report_finish(&report);
+		tally_finish(&tally);
 	}
 }
 
@@ -70,7 +70,7 @@
  * Sequence: a collector cut lines short, mixed in others, or lost bytes.
  * Cause: reading each line as a whole object of this program.
  */
-Test(report, damaged_and_foreign_lines_are_skipped)
+Test(tally, damaged_and_foreign_lines_are_skipped)
 {
 	static const struct {
 		const char *line;
@@ -92,31 +92,31 @@
 	size_t i;
 
 	for (i = 0; i < COUNT(cases); i++) {
-		struct report report;
+		struct tally tally;
 
-		report_init(&report, 10);
-		report_take(&report, cases[i].line);
-		cr_expect_eq(report.damaged, cases[i].damaged, "case %zu", i);
-		cr_expect_eq(report.requests, cases[i].requests, "case %zu", i);
-		report_finish(&report);
+		tally_init(&tally, 10);
+		tally_take(&tally, cases[i].line);
+		cr_expect_eq(tally.damaged, cases[i].damaged, "case %zu", i);
+		cr_expect_eq(tally.requests, cases[i].requests, "case %zu", i);
+		tally_finish(&tally);
 	}
 }
 
-Test(report, spans_hold_requests_and_changes)
+Test(tally, spans_hold_requests_and_changes)
 {
 	static const char change[] =
 		"{\"time\":\"2026-03-10T06:09:19.9Z\",\"slice\":\"config\","
 		"\"event\":\"version_in_force\"}";
-	struct report report;
+	struct tally tally;
 	json_t *told;
 	json_t *times;
 
-	report_init(&report, 10);
-	report_take(&report, LINE("20.1", "late", "\"verdict\":\"not-run\""));
-	report_take(&report, LINE("10.0", "late", "\"verdict\":\"not-run\""));
-	report_take(&report, LINE("10.1", "late", "\"verdict\":\"not-run\""));
-	report_take(&report, change);
-	told = report_json(&report);
+	tally_init(&tally, 10);
+	tally_take(&tally, LINE("20.1", "late", "\"verdict\":\"not-run\""));
+	tally_take(&tally, LINE("10.0", "late", "\"verdict\":\"not-run\""));
+	tally_take(&tally, LINE("10.1", "late", "\"verdict\":\"not-run\""));
+	tally_take(&tally, change);
+	told = tally_json(&tally);
 	times = json_object_get(told, "times");
 	cr_assert_eq(json_array_size(times), 2);
 	cr_expect_eq(json_integer_value(json_object_get(
@@ -127,28 +127,28 @@
 		     1);
 	cr_expect_eq(json_array_size(json_object_get(told, "causes")), 1);
 	json_decref(told);
-	report_finish(&report);
+	tally_finish(&tally);
 }
 
 /* However many kinds and hours the lines tell of. */
-Test(report, memory_is_bounded)
+Test(tally, memory_is_bounded)
 {
-	struct report report;
+	struct tally tally;
 	char line[512];
 	int i;
 
-	report_init(&report, 1);
-	for (i = 0; i < 2 * REPORT_ROWS_MAX; i++) {
+	tally_init(&tally, 1);
+	for (i = 0; i < 2 * TALLY_ROWS_MAX; i++) {
 		snprintf(
 			line, sizeof(line),
 			"{\"time\":\"2026-03-10T06:09:10Z\",\"event\":\"call\","
 			"\"service\":\"s\",\"kind\":\"k%d\",\"end\":\"late\","
 			"\"verdict\":\"not-run\"}",
 			i);
-		report_take(&report, line);
+		tally_take(&tally, line);
 	}
-	cr_expect_eq(HASH_COUNT(report.rows), REPORT_ROWS_MAX);
-	cr_expect_eq(report.totals[REPORT_REFUSED], 2 * REPORT_ROWS_MAX);
-	cr_expect_eq(report.unlisted, REPORT_ROWS_MAX);
-	report_finish(&report);
+	cr_expect_eq(HASH_COUNT(tally.rows), TALLY_ROWS_MAX);
+	cr_expect_eq(tally.totals[TALLY_REFUSED], 2 * TALLY_ROWS_MAX);
+	cr_expect_eq(tally.unlisted, TALLY_ROWS_MAX);
+	tally_finish(&tally);
 }
--- a/test/fuzz/replay_test.c
+++ b/test/fuzz/replay_test.c
@@ -127,6 +127,21 @@
 	replay(FUZZ_DOCUMENT, 2000);
 }
 
+Test(fuzz, entries_of_the_directory, .timeout = 60)
+{
+	replay(FUZZ_DIRECTORY, 2000);
+}
+
+Test(fuzz, messages_that_a_peer_compressed, .timeout = 60)
+{
+	replay(FUZZ_PACKED, 2000);
+}
+
+Test(fuzz, lines_of_logs, .timeout = 60)
+{
+	replay(FUZZ_LOG, 2000);
+}
+
 Test(fuzz, bytes_on_a_connection_of_a_caller, .timeout = 60)
 {
 	replay(FUZZ_CALLER, 1000);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -9,7 +9,9 @@
 #include "call/frames.h"
 #include "call/terms.h"
 #include "http/server.h"
+#include "membership/directory.h"
 #include "membership/packet.h"
+#include "node/tally.h"
 #include "node/settings.h"
 #include "operator/target.h"
 #include "os/clock.h"
@@ -19,6 +21,7 @@
 #include "profile/head.h"
 #include "profile/profile.h"
 #include "wire/codec.h"
+#include "wire/compressor.h"
 #include "wire/hub.h"
 
 enum { TURNS = 200, TURN_US = 1000, CALLER_TURNS = 4 };
@@ -46,6 +49,12 @@
 		return "heartbeat";
 	case FUZZ_DOCUMENT:
 		return "document";
+	case FUZZ_DIRECTORY:
+		return "directory";
+	case FUZZ_PACKED:
+		return "packed";
+	case FUZZ_LOG:
+		return "log";
 	case FUZZ_TARGETS:
 		break;
 	}
@@ -377,6 +386,56 @@
 	free(faults);
 }
 
+/* Whoever wrote the value: what is read of it can be written again, and then
+ * reads the same. */
+static void run_directory(const uint8_t *data, size_t size)
+{
+	static struct directory read;
+	static struct directory again;
+	static char text[DIRECTORY_TEXT_SIZE];
+	static char text_again[DIRECTORY_TEXT_SIZE];
+	size_t length;
+
+	directory_parse(&read, (const char *)data, size);
+	length = directory_format(&read, text);
+	require(length < sizeof(text), "a text beyond its bound");
+	directory_parse(&again, text, length);
+	require(directory_format(&again, text_again) == length &&
+			!memcmp(text, text_again, length),
+		"reads differently when written again");
+}
+
+static void run_packed(const uint8_t *data, size_t size)
+{
+	enum { MOST_BYTES = 16 * 1024 };
+	struct compressor compressor = { 0 };
+	struct buffer bytes = { 0 };
+	struct error err = ERROR_INIT;
+	bool valid = compressor_unpack(&compressor, data, size, MOST_BYTES,
+				       &bytes, &err);
+
+	require(valid != error_is_set(&err), "a refusal without a reason");
+	require(!valid || buffer_size(&bytes) <= MOST_BYTES,
+		"more than the bound");
+	buffer_finish(&bytes);
+	compressor_finish(&compressor);
+}
+
+static void run_log(const uint8_t *data, size_t size)
+{
+	struct tally tally;
+	char *line = calloc(1, size + 1);
+
+	require(line, "memory");
+	if (size)
+		memcpy(line, data, size);
+	tally_init(&tally, 10);
+	tally_take(&tally, line);
+	require(tally.requests + tally.damaged <= 1, "counted twice");
+	tally_finish(&tally);
+	free(line);
+}
+
 void fuzz_run(enum fuzz_target target, const uint8_t *data, size_t size)
 {
 	switch (target) {
@@ -410,6 +469,15 @@
 	case FUZZ_DOCUMENT:
 		run_document(data, size);
 		return;
+	case FUZZ_DIRECTORY:
+		run_directory(data, size);
+		return;
+	case FUZZ_PACKED:
+		run_packed(data, size);
+		return;
+	case FUZZ_LOG:
+		run_log(data, size);
+		return;
 	case FUZZ_TARGETS:
 		return;
 	}
--- a/test/fuzz/targets.h
+++ b/test/fuzz/targets.h
@@ -24,6 +24,9 @@
 	FUZZ_CALLER,	/* bytes on a connection of a caller */
 	FUZZ_HEARTBEAT, /* a line with a path, then a body */
 	FUZZ_DOCUMENT,	/* a configuration document of the platform */
+	FUZZ_DIRECTORY, /* the nodes' addresses in the platform's store */
+	FUZZ_PACKED,	/* a message that a peer compressed */
+	FUZZ_LOG,	/* a line of a log */
 	FUZZ_TARGETS,
 };
 
