call: the log tells what time was left when a try ended or was broken off

Whether an own answer came because the caller's time was over, or while there was time left, could not be told from the log: 'tried' had no time left, and a run that this side ended left no line beside the upstream at all. Now each try has 'left', 'served' has 'left_ms', and 'broken_off' is a line and a counter.

--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -90,7 +90,8 @@
 	if (!call->endpoint)
 		return;
 	trace_try(&call->trace, call->endpoint, end,
-		  now(caller) - call->began_us, now(caller));
+		  now(caller) - call->began_us,
+		  call->attempt.deadline_us - now(caller), now(caller));
 	placement_tried(&call->placement, call->endpoint);
 	endpoint_done(caller->options.router, call->endpoint, result, load,
 		      now(caller) - call->began_us, now(caller));
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -16,6 +16,8 @@
 	"Calls refused beside the upstream, which proves that they did not run");
 COUNTER(unknown, "call.served_unknown",
 	"Calls of which it is not known whether the upstream ran them");
+COUNTER(broken_off, "call.broken_off",
+	"Calls ended by this side while the upstream worked on them");
 COUNTER(duplicates, "call.duplicate_frames",
 	"Copies of calls that had been seen before, not run again");
 COUNTER(orphans, "call.orphaned",
@@ -136,6 +138,12 @@
 	latency_add(LATENCY_UPSTREAM, service, outcome, upstream_us);
 }
 
+/* What the upstream had left of the time that it was told. */
+static int64_t left_ms(const struct serving *serving)
+{
+	return (serving->terms.deadline_us - now(serving->server)) / US_PER_MS;
+}
+
 /* The line of an attempt beside the upstream, where that was asked. */
 static void log_served(const struct serving *serving,
 		       const struct upstream_judgement *judgement,
@@ -158,6 +166,7 @@
 		LOG_NUMBER("queued_ms",
 			   (gate->started_us - gate->arrived_us) / US_PER_MS),
 		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
+		LOG_NUMBER("left_ms", left_ms(serving)),
 		LOG_TEXT("connection", answer->reused ? "kept" : "new"),
 		LOG_NUMBER("running", server->options.gate->running_count),
 		LOG_NUMBER("waiting", server->options.gate->waiting_count),
@@ -169,6 +178,32 @@
 		    sizeof(fields) / sizeof(fields[0]));
 }
 
+/* The line of an attempt that this side ended while the upstream worked on it;
+ * what the caller was told must follow from its time being over, or from its
+ * having hung up. */
+static void log_broken_off(const struct serving *serving,
+			   const struct call_outcome *outcome)
+{
+	const struct gate_request *gate = &serving->gate;
+	const struct log_field fields[] = {
+		LOG_TEXT("request", serving->terms.request_id),
+		LOG_TEXT("start", serving->server->upstream_id),
+		LOG_TEXT("end", end_of(outcome)),
+		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
+		LOG_TEXT("kind", serving->terms.kind),
+		LOG_NUMBER("queued_ms",
+			   (gate->started_us - gate->arrived_us) / US_PER_MS),
+		LOG_NUMBER("upstream_ms",
+			   (now(serving->server) - serving->sent_us) /
+				   US_PER_MS),
+		LOG_NUMBER("left_ms", left_ms(serving)),
+	};
+
+	counter_add(&broken_off, 1);
+	log_request(LOG_ATTEMPT, slice, "broken_off", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
 /* The line of an attempt that the upstream never saw. */
 static void log_turned_away(const struct serving *serving,
 			    const struct call_outcome *outcome)
@@ -355,6 +390,7 @@
 		 * got cannot be known. */
 		http_client_cancel(serving->transfer);
 		outcome.verdict = VERDICT_MAY_HAVE_RUN;
+		log_broken_off(serving, &outcome);
 	}
 	if (serving->state != SERVING_RECEIVING)
 		gate_cancel(server->options.gate, &serving->gate, now(server));
--- a/src/node/command_explain.c
+++ b/src/node/command_explain.c
@@ -159,6 +159,13 @@
 		       text_of(line, "connection"),
 		       *text_of(line, "text") ? ": " : "",
 		       text_of(line, "text"));
+	else if (is_event(line, "broken_off"))
+		printf("broke it off: %s, %s, after %lld ms in the queue and "
+		       "%lld ms at its upstream, %lld ms left\n",
+		       text_of(line, "end"), text_of(line, "verdict"),
+		       number_of(line, "queued_ms"),
+		       number_of(line, "upstream_ms"),
+		       number_of(line, "left_ms"));
 	else if (is_event(line, "turned_away"))
 		printf("turned it away for %s: %s, with %lld running, %lld "
 		       "waiting, limit %lld, due in %lld ms\n",
