http: a parting server answers all that it has read

What callers saw: of several requests sent on one connection to a node that was stopping, the first answer after its linger time said that the connection ends, and those behind it, read and at work at upstreams, were given up. Cause: every answer of a parting server was the last on its connection, and that was put into its head when it was ready, not when it was sent. Mend: the end is decided as an answer is sent; it is the last one if nothing that has been read whole stands behind it, and nothing more is read then. An answer that stood behind the last one is no longer put out after it.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -471,26 +471,54 @@
 	write_out(data);
 }
 
+/* Whether the connection ends with this answer. A caller of a parting server
+ * that kept its connection would send its next request just as the process
+ * ends, and learn nothing of what became of it. But what was read behind this
+ * request is worked on, and would be given up as the caller closes. */
+static bool ends_connection(const struct http_exchange *exchange)
+{
+	const struct http_exchange *next = exchange->next;
+
+	if (exchange->last || !exchange->keep_alive)
+		return true;
+	return exchange->server->parting &&
+	       (!next || next->state == EXCHANGE_READING);
+}
+
+static void put_reply(struct http_conn *conn, struct http_exchange *exchange)
+{
+	const uint8_t *reply = buffer_data(&exchange->reply);
+	size_t size = buffer_size(&exchange->reply);
+	size_t head_size = exchange->head_size;
+	const char *end = exchange->last ? "Connection: close\r\n\r\n" : "\r\n";
+
+	buffer_append(&conn->out, reply, head_size);
+	buffer_text(&conn->out, end);
+	buffer_append(&conn->out, reply + head_size, size - head_size);
+	conn->queued += size + strlen(end);
+	buffer_finish(&exchange->reply);
+	exchange->end_at = conn->queued;
+	exchange->state = EXCHANGE_SENDING;
+}
+
 void conn_replied(struct http_conn *conn)
 {
 	struct http_exchange *exchange;
 
 	DL_FOREACH(conn->exchanges, exchange) {
-		if (exchange->state == EXCHANGE_SENDING)
+		if (exchange->state == EXCHANGE_SENDING && !exchange->last)
 			continue;
 		if (exchange->state != EXCHANGE_REPLIED)
 			break;
-		buffer_append(&conn->out, buffer_data(&exchange->reply),
-			      buffer_size(&exchange->reply));
-		conn->queued += buffer_size(&exchange->reply);
-		buffer_finish(&exchange->reply);
-		exchange->end_at = conn->queued;
-		exchange->state = EXCHANGE_SENDING;
-		/* What was sent behind it counts as unread. */
-		if (exchange->last) {
+		exchange->last = ends_connection(exchange);
+		put_reply(conn, exchange);
+		/* Nothing more is read: a caller that always sent one request
+		 * more would hold a parting server up. */
+		if (exchange->last || conn->server->parting)
 			conn->state = CONN_PARTING;
+		/* What was sent behind it counts as unread. */
+		if (exchange->last)
 			break;
-		}
 	}
 	loop_defer_late(conn->server->loop, &conn->flush);
 }
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -32,6 +32,7 @@
  * @last: the connection ends with this answer
  * @cut: the connection breaks off after what @reply holds
  * @refused: answered by the server itself; its body is not kept
+ * @reply: head without its end, and from @head_size on the body
  * @end_at: place in the connection's output after its answer
  */
 struct http_exchange {
@@ -52,6 +53,7 @@
 	bool cut;
 	bool refused;
 	struct buffer reply;
+	size_t head_size;
 	uint64_t end_at;
 	size_t held_bytes;
 	int64_t started_us;
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -214,13 +214,7 @@
 		    strcasecmp(headers[i].name, "Content-Length") != 0)
 			put_field(out, headers[i].name, headers[i].value);
 	put_length(exchange, status, headers, count, size);
-	/* A caller that keeps its connection would send its next request just
-	 * as this process ends, and learn nothing of what became of it. */
-	if (exchange->server->parting || !exchange->keep_alive)
-		exchange->last = true;
-	if (exchange->last)
-		put_field(out, "Connection", "close");
-	buffer_text(out, "\r\n");
+	exchange->head_size = buffer_size(out);
 }
 
 static void replied(struct http_exchange *exchange)
--- a/src/http/framing_test.c
+++ b/src/http/framing_test.c
@@ -301,6 +301,77 @@
 	net_close(fd);
 }
 
+/*
+ * Callers of a stopping node lost requests that an upstream was at work on:
+ * they had sent several on one connection, and the first answer after the node
+ * had begun to part said that the connection ends with it. What was read behind
+ * it was given up when the caller closed. The log showed the calls "cancelled"
+ * with hundreds of milliseconds left, two at once, 2.3 to 3.0 s after the
+ * signal.
+ */
+static const struct {
+	const char *name;
+	size_t order[3];   /* in which the three requests get their answers */
+	size_t part_after; /* so many of them */
+} partings[] = {
+	{ "none answered yet", { 0, 1, 2 }, 0 },
+	{ "first answered before", { 0, 1, 2 }, 1 },
+	{ "last answered before", { 2, 0, 1 }, 1 },
+	{ "last answered first", { 2, 1, 0 }, 0 },
+	{ "middle answered before", { 1, 0, 2 }, 1 },
+};
+
+static void check_parting(size_t i)
+{
+	static const char *const bodies[] = { "one", "two", "three" };
+	static const char close_field[] = "Connection: close";
+	static char text[TEXT_SIZE];
+	static char all[3 * TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	bool closed = false;
+	size_t used = 0;
+	size_t done;
+
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /later/2 HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "GET /later/3 HTTP/1.1\r\nHost: h\r\n\r\n");
+	collect(fd, text);
+	cr_assert_eq(kept_count, 3);
+	all[0] = '\0';
+	for (done = 0; done < 3; done++) {
+		size_t one = partings[i].order[done];
+
+		cr_assert_not(closed, "%s: closed too soon", partings[i].name);
+		if (done == partings[i].part_after)
+			http_server_part(&server);
+		reply(kept[one], bodies[one]);
+		closed = collect(fd, text);
+		used += (size_t)snprintf(all + used, sizeof(all) - used, "%s",
+					 text);
+	}
+	cr_expect(closed, "%s: left open", partings[i].name);
+	cr_expect(strstr(all, "one") && strstr(all, "two") &&
+			  strstr(all, "three"),
+		  "%s: %s", partings[i].name, all);
+	cr_expect_eq(count_of(all, close_field), 1, "%s: %s", partings[i].name,
+		     all);
+	cr_expect_gt(strstr(all, close_field), strstr(all, "two"), "%s: %s",
+		     partings[i].name, all);
+	net_close(fd);
+}
+
+Test(framing, a_parting_server_answers_all_that_it_has_read)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT(partings); i++) {
+		kept_count = requests = 0;
+		setup();
+		check_parting(i);
+		teardown();
+	}
+}
+
 /* More than are worked on at once: the rest waits unread and none is lost. */
 Test(framing, a_full_pipeline_holds_the_caller_back, .init = setup,
      .fini = teardown)
