node: let the waits of a stop count from the signal

Cause: the waits of a stop follow one another and only each was bounded: linger, drain, 500 ms in which answers are read, and after that 1,000 ms anew for the store and for callers whose requests were not answered. With the settings of deploy/ (2.3 s, 2.2 s) that is 6.0 s of the 6 s that the platform gives. One request of which half has come is enough.

Ruled out by reading: the store on the platform's form (no lease is held there, nothing is given back), calls that outlive their cancellation (each is ended by it), log lines nobody reads (a flush does not block), a signal during the start (it ends the process until handlers are set). Not ruled out: a process that is frozen while it stops.

Conclusion: a node ends at most 1 s after linger and drain together.

--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -19,7 +19,6 @@
 	PINGS_PER_SILENCE = 4,
 	RETIRES_PER_SILENCE = 10,
 	DRAIN_CHECK_US = 5 * US_PER_MS,
-	LAST_WORD_US = 500 * US_PER_MS,
 };
 
 COUNTER(malformed, "call.frames_malformed",
@@ -207,7 +206,7 @@
 	 * for beyond one more chance to read it. */
 	if (calls->caller.call_count ||
 	    (!all_told(calls) &&
-	     now_us < calls->drain_until_us + LAST_WORD_US)) {
+	     now_us < calls->drain_until_us + CALLS_LAST_WORD_MS * US_PER_MS)) {
 		timer_set(calls->options.loop, timer, now_us + DRAIN_CHECK_US);
 		return;
 	}
--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -13,6 +13,9 @@
  * graceful stop.
  */
 
+/* After the drain time, for peers and callers to read what they are told. */
+enum { CALLS_LAST_WORD_MS = 500 };
+
 /**
  * struct calls_options - see struct caller_options and struct serve_options
  * @form: of the interface towards callers and the upstream
--- /dev/null
+++ b/src/node/leaving.c
@@ -0,0 +1,52 @@
+#include "node/leaving.h"
+
+#include "call/calls.h"
+#include "os/clock.h"
+
+static int64_t later(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+static int64_t earlier(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+void leaving_begin(struct leaving *leaving, int64_t linger_ms, int64_t drain_ms,
+		   int64_t now_us)
+{
+	leaving->asked_us = now_us;
+	leaving->work_until_us = now_us + (linger_ms + drain_ms) * US_PER_MS;
+	leaving->drained_us = 0;
+}
+
+void leaving_drained(struct leaving *leaving, int64_t now_us)
+{
+	leaving->drained_us = now_us;
+}
+
+/* A caller that has neither sent its request nor read its answer by the end of
+ * the drain has had its time: another second for it got the process killed. */
+static int64_t callers_until_us(const struct leaving *leaving)
+{
+	return earlier(leaving->drained_us + LEAVING_CALLERS_MS * US_PER_MS,
+		       leaving->work_until_us + CALLS_LAST_WORD_MS * US_PER_MS);
+}
+
+int64_t leaving_until_us(const struct leaving *leaving,
+			 const struct leaving_open *open)
+{
+	int64_t until_us =
+		leaving->drained_us + LEAVING_LAST_WORDS_MS * US_PER_MS;
+
+	/* The lease is being given back since the signal; a store that is
+	 * silent since then is not waited for once calls have drained. */
+	if (open->store)
+		until_us = later(until_us,
+				 leaving->asked_us +
+					 LEAVING_GIVE_BACK_MS * US_PER_MS);
+	if (open->callers)
+		until_us = later(until_us, callers_until_us(leaving));
+	return until_us;
+}
--- /dev/null
+++ b/src/node/leaving_test.c
@@ -0,0 +1,101 @@
+#include <criterion/criterion.h>
+
+#include "call/calls.h"
+#include "node/leaving.h"
+#include "os/clock.h"
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+enum { ASKED_MS = 70000 };
+
+/*
+ * Nodes were still there at the end of the time that the platform gives them
+ * to stop, and were killed. A caller had sent half of a request and SIGTERM
+ * came: the node went through its linger time, its drain time and the time in
+ * which answers are read, and then waited a second more for the same caller,
+ * 6.0 s in all of the 6 s given. Each wait was bounded, their sum was not. All
+ * times here count from the signal.
+ */
+Test(leaving, waits_do_not_add_up)
+{
+	static const struct {
+		int64_t linger_ms;
+		int64_t drain_ms;
+		int64_t drained_ms;
+		struct leaving_open open; /* store, callers */
+		int64_t wanted_ms;
+	} cases[] = {
+		/* Nothing is left: datagrams only. */
+		{ 0, 30000, 0, { false, false }, 100 },
+		{ 2300, 2200, 2300, { false, false }, 2400 },
+		{ 2300, 2200, 5000, { false, false }, 5100 },
+		/* The store takes its time from the signal. */
+		{ 0, 30000, 0, { true, false }, 1000 },
+		{ 0, 30000, 950, { true, false }, 1050 },
+		{ 2300, 2200, 2300, { true, false }, 2400 },
+		{ 2300, 2200, 5000, { true, false }, 5100 },
+		/* Callers that came just before the port closed. */
+		{ 0, 30000, 0, { false, true }, 1000 },
+		{ 2300, 2200, 2300, { false, true }, 3300 },
+		{ 2300, 2200, 4400, { false, true }, 5000 },
+		/* Callers that had the whole drain time and more. */
+		{ 2300, 2200, 5000, { false, true }, 5100 },
+		{ 2300, 2200, 5000, { true, true }, 5100 },
+		{ 0, 1000, 1500, { true, true }, 1600 },
+		/* No time for work at all. */
+		{ 0, 0, 0, { false, true }, 500 },
+		{ 0, 0, 500, { false, true }, 600 },
+		{ 0, 0, 500, { true, true }, 1000 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		int64_t asked_us = ASKED_MS * US_PER_MS;
+		struct leaving leaving;
+		int64_t took_us;
+
+		leaving_begin(&leaving, cases[i].linger_ms, cases[i].drain_ms,
+			      asked_us);
+		leaving_drained(&leaving,
+				asked_us + cases[i].drained_ms * US_PER_MS);
+		took_us = leaving_until_us(&leaving, &cases[i].open) - asked_us;
+		cr_expect_eq(took_us, cases[i].wanted_ms * US_PER_MS,
+			     "case %zu: %lld us", i, (long long)took_us);
+	}
+}
+
+/*
+ * A process that is told when to expect its kill sets linger and drain below
+ * that by LEAVING_MOST_MS, and is killed if any course of events takes longer:
+ * so each moment at which calls can have drained is tried with all that may be
+ * left.
+ */
+Test(leaving, no_course_takes_longer_than_is_told)
+{
+	static const int64_t times_ms[] = { 0, 1, 99, 700, 2300, 60000 };
+	size_t linger;
+	size_t drain;
+
+	for (linger = 0; linger < COUNT(times_ms); linger++)
+		for (drain = 0; drain < COUNT(times_ms); drain++) {
+			int64_t most_ms = times_ms[linger] + times_ms[drain];
+			int64_t at_ms;
+
+			for (at_ms = times_ms[linger];
+			     at_ms <= most_ms + CALLS_LAST_WORD_MS; at_ms++) {
+				const struct leaving_open all = { true, true };
+				struct leaving leaving;
+
+				leaving_begin(&leaving, times_ms[linger],
+					      times_ms[drain], 0);
+				leaving_drained(&leaving, at_ms * US_PER_MS);
+				cr_assert_leq(
+					leaving_until_us(&leaving, &all),
+					(most_ms + LEAVING_MOST_MS) * US_PER_MS,
+					"linger %lld, drain %lld, drained %lld",
+					(long long)times_ms[linger],
+					(long long)times_ms[drain],
+					(long long)at_ms);
+			}
+		}
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -23,9 +23,6 @@
 	ANNOUNCE_CONNECTIONS = 64,
 	TURN_MAX_US = 1000 * US_PER_MS,
 	METRICS_EVERY_MS = 1000,
-	/* Datagrams that tell of the end have to leave before the end. */
-	LAST_WORDS_MS = 100,
-	GIVE_BACK_MS = 1000,
 	LOAD_SLACK = 64,
 	BYTES_PER_MBIT = 125000,
 };
@@ -183,9 +180,9 @@
 	 * are answered during the last words. */
 	http_server_quiesce(&node->callers);
 	gossip_leave(&node->gossip);
-	node->stop_by_us = loop_now_us(&node->loop) + GIVE_BACK_MS * US_PER_MS;
+	leaving_drained(&node->stop, loop_now_us(&node->loop));
 	timer_set(&node->loop, &node->last_words,
-		  loop_now_us(&node->loop) + LAST_WORDS_MS * US_PER_MS);
+		  loop_now_us(&node->loop) + LEAVING_LAST_WORDS_MS * US_PER_MS);
 }
 
 static void start_calls(struct node *node)
@@ -329,15 +326,20 @@
 static void last_words_said(struct timer *timer, void *data)
 {
 	struct node *node = data;
-	int64_t now_us = loop_now_us(&node->loop);
-
 	/* A lease that is given back need not lapse before the next reader
 	 * takes its turn; a store that is down is not waited for. A caller
 	 * whose request came on a kept connection gets its refusal. */
-	if ((!node_source_is_idle(node) || node->callers.exchange_count) &&
-	    now_us < node->stop_by_us)
+	const struct leaving_open open = {
+		.store = !node_source_is_idle(node),
+		.callers = node->callers.exchange_count > 0,
+	};
+	int64_t until_us = leaving_until_us(&node->stop, &open);
+	int64_t next_us =
+		loop_now_us(&node->loop) + LEAVING_LAST_WORDS_MS * US_PER_MS;
+
+	if (loop_now_us(&node->loop) < until_us)
 		timer_set(&node->loop, timer,
-			  now_us + LAST_WORDS_MS * US_PER_MS);
+			  next_us < until_us ? next_us : until_us);
 	else
 		node->stopped = true;
 }
@@ -436,6 +438,7 @@
 
 	log_info(slice, "leaving");
 	node->leaving = true;
+	leaving_begin(&node->stop, from->linger_ms, from->drain_ms, now_us);
 	node_source_withdraw(node);
 	if (from->keep_upstream_ms)
 		timer_set(&node->loop, &node->keep_upstream,
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -9,6 +9,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "membership/gossip.h"
+#include "node/leaving.h"
 #include "node/lookup.h"
 #include "node/settings.h"
 #include "operator/server.h"
@@ -39,7 +40,7 @@
  * @serving_since_us: since when the upstream beside has been serving, 0 if
  *	it is not
  * @linger: until callers are served no longer, once the process leaves
- * @stop_by_us: latest end once calls have drained
+ * @stop: times of the stop, once the process leaves
  * @keep_upstream: until its upstream gets no new work, once it leaves
  * @leaving: the process is about to end
  * @closing: it leaves, and its upstream gets no new work any more
@@ -83,7 +84,7 @@
 	struct timer linger;
 	struct timer keep_upstream;
 	int64_t serving_since_us;
-	int64_t stop_by_us;
+	struct leaving stop;
 	bool leaving;
 	bool closing;
 	bool stopped;
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -1,7 +1,13 @@
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
+#include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "functional/background.h"
 #include "functional/profile.h"
@@ -11,7 +17,10 @@
 	WAIT_MS = BACKGROUND_WAIT_MS,
 	NODES = 2,
 	POLL_MS = 20,
-	LINE_SIZE = 8192
+	LINE_SIZE = 8192,
+	/* What a node may wait once its drain time is over is 100 ms; to wait
+	 * for callers or the store anew would take 1000 ms at least. */
+	LAST_WORDS_MOST_MS = 900,
 };
 
 static const char slow[] = "/seal?service_us=3000000";
@@ -50,6 +59,11 @@
 	start_with("[call]\nlinger_ms = 600000\nkeep_upstream_ms = 600000\n");
 }
 
+static void start_with_short_drain(void)
+{
+	start_with("[call]\ndrain_ms = 1000\n");
+}
+
 static void stop(void)
 {
 	cluster_stop(&cluster);
@@ -194,3 +208,92 @@
 	cr_assert_eq(upstream_number(&cluster, 1, "running"), 0);
 	cr_assert(call_wait_status(&cluster, 0, "beta", 200));
 }
+
+/* When the node logged @event, in ms since 1970; -1 if it did not. */
+static int64_t logged_ms(const struct process *process, const char *event)
+{
+	FILE *file = fopen(process->log_path, "re");
+	char line[LINE_SIZE];
+	int64_t at_ms = -1;
+
+	cr_assert_not_null(file);
+	while (at_ms < 0 && fgets(line, sizeof(line), file)) {
+		json_t *json = json_loads(line, 0, NULL);
+		struct tm parts = { .tm_isdst = 0 };
+		const char *rest;
+
+		if (json &&
+		    !strcmp(json_string_value(json_object_get(json, "event")),
+			    event)) {
+			rest = strptime(json_string_value(
+						json_object_get(json, "time")),
+					"%Y-%m-%dT%H:%M:%S.", &parts);
+			cr_assert_not_null(rest);
+			at_ms = (int64_t)timegm(&parts) * 1000 + atoi(rest);
+		}
+		json_decref(json);
+	}
+	fclose(file);
+	return at_ms;
+}
+
+/* A caller that sends the head of a request and never its body. */
+static int begin_half_request(uint32_t i)
+{
+	static const char head[] = "POST /seal HTTP/1.1\r\nHost: beta\r\n"
+				   "Content-Length: 9\r\n\r\nhalf";
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	const char *colon = strchr(cluster.nodes[i].caller, ':');
+	char host[ENDPOINT_SIZE];
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	cr_assert_not_null(colon);
+	snprintf(host, sizeof(host), "%.*s",
+		 (int)(colon - cluster.nodes[i].caller),
+		 cluster.nodes[i].caller);
+	cr_assert_eq(inet_pton(AF_INET, host, &to.sin_addr), 1);
+	to.sin_port = htons((uint16_t)atoi(colon + 1));
+	cr_assert_geq(fd, 0);
+	cr_assert_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	cr_assert_eq(write(fd, head, sizeof(head) - 1), sizeof(head) - 1);
+	return fd;
+}
+
+/*
+ * Nodes were still there at the end of the time that the platform gives them
+ * to stop, and were killed. A caller had sent half of a request to each, the
+ * store was silent, and SIGTERM came: each node waited its drain time for the
+ * caller, the time in which answers are read, and then a whole second more for
+ * the same caller and the same store. A wait that starts when the one before
+ * it ends adds to the sum; all of them have to count from the signal.
+ */
+Test(drain, nothing_is_waited_for_anew_once_the_drain_is_over,
+     .init = start_with_short_drain, .fini = stop, .timeout = 120)
+{
+	int halves[NODES];
+	uint32_t i;
+
+	for (i = 0; i < NODES; i++)
+		halves[i] = begin_half_request(i);
+	for (i = 0; i < NODES; i++)
+		cr_assert(call_wait_status(&cluster, i, "beta", 200));
+	cr_assert(cluster_platform_faults(&cluster, "{\"silent\":true}"));
+	for (i = 0; i < NODES; i++)
+		process_signal(&cluster.nodes[i].process, SIGTERM);
+	for (i = 0; i < NODES; i++) {
+		struct process *process = &cluster.nodes[i].process;
+		int64_t took_ms;
+
+		cr_assert(process_wait(process, WAIT_MS));
+		cr_expect_eq(process->exit_status, 0);
+		took_ms = logged_ms(process, "stopped") -
+			  logged_ms(process, "drained");
+		cr_expect_geq(logged_ms(process, "drained") -
+				      logged_ms(process, "leaving"),
+			      1000, "node %u waits for its caller", i);
+		cr_expect_lt(took_ms, LAST_WORDS_MOST_MS,
+			     "node %u: %lld ms after its drain", i,
+			     (long long)took_ms);
+		close(halves[i]);
+	}
+}
