node: tell what a stop did not wait for

Cause: the log of a stop that used up its time did not say what it waited for, so a process killed at the end of its time could not be traced from its neighbours' stops.

Now a node that ends before all callers are answered, or before the store has taken its lease back, logs "left_open" with both. In the functional test (half a request at each of two nodes) each tells of 1 unanswered request.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -337,11 +337,17 @@
 	int64_t next_us =
 		loop_now_us(&node->loop) + LEAVING_LAST_WORDS_MS * US_PER_MS;
 
-	if (loop_now_us(&node->loop) < until_us)
+	if (loop_now_us(&node->loop) < until_us) {
 		timer_set(&node->loop, timer,
 			  next_us < until_us ? next_us : until_us);
-	else
-		node->stopped = true;
+		return;
+	}
+	/* A stop that takes long, or cuts a caller off, has to say why. */
+	if (open.store || open.callers)
+		log_warn(slice, "left_open",
+			 LOG_NUMBER("unanswered", node->callers.exchange_count),
+			 LOG_NUMBER("store", open.store));
+	node->stopped = true;
 }
 
 static void refresh_metrics(struct timer *timer, void *data)
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -209,31 +209,42 @@
 	cr_assert(call_wait_status(&cluster, 0, "beta", 200));
 }
 
-/* When the node logged @event, in ms since 1970; -1 if it did not. */
-static int64_t logged_ms(const struct process *process, const char *event)
+/* The first line of @event in the log of a process that has ended, to be freed
+ * by json_decref(). */
+static json_t *logged(const struct process *process, const char *event)
 {
 	FILE *file = fopen(process->log_path, "re");
 	char line[LINE_SIZE];
-	int64_t at_ms = -1;
+	json_t *json = NULL;
 
 	cr_assert_not_null(file);
-	while (at_ms < 0 && fgets(line, sizeof(line), file)) {
-		json_t *json = json_loads(line, 0, NULL);
-		struct tm parts = { .tm_isdst = 0 };
-		const char *rest;
-
-		if (json &&
-		    !strcmp(json_string_value(json_object_get(json, "event")),
-			    event)) {
-			rest = strptime(json_string_value(
-						json_object_get(json, "time")),
-					"%Y-%m-%dT%H:%M:%S.", &parts);
-			cr_assert_not_null(rest);
-			at_ms = (int64_t)timegm(&parts) * 1000 + atoi(rest);
-		}
-		json_decref(json);
+	while (!json && fgets(line, sizeof(line), file)) {
+		json_t *read = json_loads(line, 0, NULL);
+		const char *name =
+			json_string_value(json_object_get(read, "event"));
+
+		if (name && !strcmp(name, event))
+			json = json_incref(read);
+		json_decref(read);
 	}
 	fclose(file);
+	cr_assert_not_null(json, "no line of %s", event);
+	return json;
+}
+
+/* When it was logged, in ms since 1970. */
+static int64_t logged_ms(const struct process *process, const char *event)
+{
+	json_t *line = logged(process, event);
+	struct tm parts = { .tm_isdst = 0 };
+	const char *rest =
+		strptime(json_string_value(json_object_get(line, "time")),
+			 "%Y-%m-%dT%H:%M:%S.", &parts);
+	int64_t at_ms;
+
+	cr_assert_not_null(rest);
+	at_ms = (int64_t)timegm(&parts) * MS_PER_S + atoi(rest);
+	json_decref(line);
 	return at_ms;
 }
 
@@ -283,6 +294,7 @@
 	for (i = 0; i < NODES; i++) {
 		struct process *process = &cluster.nodes[i].process;
 		int64_t took_ms;
+		json_t *line;
 
 		cr_assert(process_wait(process, WAIT_MS));
 		cr_expect_eq(process->exit_status, 0);
@@ -294,6 +306,11 @@
 		cr_expect_lt(took_ms, LAST_WORDS_MOST_MS,
 			     "node %u: %lld ms after its drain", i,
 			     (long long)took_ms);
+		line = logged(process, "left_open");
+		cr_expect_eq(
+			json_integer_value(json_object_get(line, "unanswered")),
+			1);
+		json_decref(line);
 		close(halves[i]);
 	}
 }
