call: what ends a run tells why; what has not left is told as not run

A try is no longer begun with 5 ms left or less: it turned the proof 'not run' into 'may have run', and an upstream's ready 504 into a 502.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -7,6 +7,10 @@
 	ASKS_MAX = 4,
 	ASKS_MAX_ELSEWHERE = 1,
 	ASK_DELAY_US = 20 * 1000,
+	/* With less left a further try cannot bring an answer: the way there
+	 * and back and the work take more. It would only turn the proof that a
+	 * request has not run into "may have run". */
+	TRY_LEAST_US = 5 * 1000,
 };
 
 static const struct attempt_action nothing = { .type = ATTEMPT_NOTHING };
@@ -99,6 +103,7 @@
 
 	return (attempt->earlier != VERDICT_RAN || attempt->error_seen) &&
 	       attempt->tries < CALL_ATTEMPTS_MAX &&
+	       attempt->deadline_us - now_us > TRY_LEAST_US &&
 	       retry_decide(is_free_try ? &unspent : attempt->budget,
 			    &request) == RETRY_AGAIN;
 }
--- a/src/call/attempt_test.c
+++ b/src/call/attempt_test.c
@@ -301,6 +301,8 @@
 		{ "no token for errors", 2, 0.5, 0, 2, ATTEMPT_REPLY, true },
 		{ "no attempt left", 2, 1, 0, 1, ATTEMPT_REPLY, true },
 		{ "no time left", 2, 1, DEADLINE_US, 2, ATTEMPT_REPLY, true },
+		{ "hardly any time left", 2, 1, DEADLINE_US - 5000, 2,
+		  ATTEMPT_REPLY, true },
 	};
 	const struct attempt_event opened = OPENED;
 	const struct attempt_event error = { .type = ATTEMPT_EVENT_ANSWERED,
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -256,7 +256,7 @@
 					.reason = action->reason };
 
 	if (action->cancel)
-		outbound_cancel(call);
+		outbound_cancel(call, action->reason);
 	if (call->refusal.reason == action->reason)
 		outcome.retry_after_ms = call->refusal.retry_after_ms;
 	/* An upstream that lets requests lie until their deadline must not
--- a/src/call/calling.h
+++ b/src/call/calling.h
@@ -120,8 +120,8 @@
 /** outbound_ask() - ask what became of the request. */
 void outbound_ask(struct call *call);
 
-/** outbound_cancel() - tell that the request is given up. */
-void outbound_cancel(struct call *call);
+/** outbound_cancel() - tell that the request is given up, and why. */
+void outbound_cancel(struct call *call, enum call_reason reason);
 
 /** outbound_finish() - let go of all links. */
 void outbound_finish(struct caller *caller);
--- a/src/call/frames.c
+++ b/src/call/frames.c
@@ -238,17 +238,26 @@
 	       decode_run(&f[1], CALL_PART_BYTES, &part->part, "body", err);
 }
 
+static bool decode_reason(const msgpack_object *field, enum call_reason *reason,
+			  struct error *err)
+{
+	uint32_t number;
+
+	if (!decode_small(field, CALL_REASONS - 1, &number, "reason", err))
+		return false;
+	*reason = (enum call_reason)number;
+	return true;
+}
+
 static bool decode_refusal(const msgpack_object *f,
 			   struct call_refusal *refusal, struct error *err)
 {
 	uint32_t verdict;
-	uint32_t reason;
 
 	if (!decode_small(&f[0], VERDICT_RAN, &verdict, "verdict", err) ||
-	    !decode_small(&f[1], CALL_REASONS - 1, &reason, "reason", err))
+	    !decode_reason(&f[1], &refusal->outcome.reason, err))
 		return false;
 	refusal->outcome.verdict = (enum verdict)verdict;
-	refusal->outcome.reason = (enum call_reason)reason;
 	return decode_small(&f[2], CALL_DEADLINE_MAX_MS,
 			    &refusal->outcome.retry_after_ms, "retry after",
 			    err) &&
@@ -281,8 +290,8 @@
 		return REFUSAL_FIELDS;
 	case FRAME_ASK:
 	case FRAME_STANDING:
-		return 1;
 	case FRAME_CANCEL:
+		return 1;
 	case FRAME_LEAVING:
 		return 0;
 	}
@@ -321,6 +330,8 @@
 		encode_uint(encoder, frame->standing);
 		break;
 	case FRAME_CANCEL:
+		encode_uint(encoder, frame->reason);
+		break;
 	case FRAME_LEAVING:
 		break;
 	}
@@ -367,6 +378,7 @@
 	case FRAME_STANDING:
 		return decode_standing(f, &frame->standing, err);
 	case FRAME_CANCEL:
+		return decode_reason(&f[0], &frame->reason, err);
 	case FRAME_LEAVING:
 		break;
 	}
--- a/src/call/frames.h
+++ b/src/call/frames.h
@@ -95,6 +95,7 @@
 /**
  * struct call_frame - one message
  * @incarnation: in FRAME_ASK, of the node that the request was sent to
+ * @reason: in FRAME_CANCEL; CALL_DEADLINE if the caller's time is over
  */
 struct call_frame {
 	enum call_frame_type type;
@@ -106,6 +107,7 @@
 		struct call_refusal refusal;
 		enum call_standing standing;
 		uint64_t incarnation;
+		enum call_reason reason;
 	};
 };
 
--- a/src/call/outbound.c
+++ b/src/call/outbound.c
@@ -208,9 +208,11 @@
 	link_send(&call->peer->link, &call->caller->encoder, &frame);
 }
 
-void outbound_cancel(struct call *call)
+void outbound_cancel(struct call *call, enum call_reason reason)
 {
-	struct call_frame frame = { .type = FRAME_CANCEL, .id = id_of(call) };
+	struct call_frame frame = { .type = FRAME_CANCEL,
+				    .id = id_of(call),
+				    .reason = reason };
 
 	if (call->peer)
 		link_send(&call->peer->link, &call->caller->encoder, &frame);
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -158,7 +158,8 @@
 	return entry->owner;
 }
 
-static void take_cancel(struct server *server, struct call_id id)
+static void take_cancel(struct server *server, struct call_id id,
+			enum call_reason reason)
 {
 	struct serving *serving = find_running(server, id);
 
@@ -166,7 +167,7 @@
 		return;
 	counter_add(&cancels, 1);
 	serving_detach(serving);
-	serving_give_up(serving, CALL_CANCELLED);
+	serving_give_up(serving, reason);
 }
 
 static void start_tick(struct server *server)
@@ -199,7 +200,7 @@
 					  &frame->part.part);
 		break;
 	case FRAME_CANCEL:
-		take_cancel(server, frame->id);
+		take_cancel(server, frame->id, frame->reason);
 		break;
 	case FRAME_ASK:
 		take_ask(server, peer, frame);
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -31,13 +31,9 @@
 	 * answer kept for longer is memory for nothing: at 30 answers of 5 kB a
 	 * second they came to 6 MB in 40 s. */
 	ANSWER_MARGIN_US = 1000 * 1000,
-	/* A request that waits is given up this much before its caller does,
-	 * so that the proof that it did not run arrives in time. */
-	WAIT_MARGIN_US = 5 * US_PER_MS,
-	WAIT_MARGIN_SHARE = 10,
-	/* A caller's cancel may be so much earlier here than the end of its
-	 * time, which counts from when the request arrived. */
-	CANCEL_EARLY_US = 20 * US_PER_MS,
+	/* The way of a proof that a request did not run to its caller. */
+	PROOF_MARGIN_US = 5 * US_PER_MS,
+	PROOF_MARGIN_SHARE = 10,
 };
 
 /* Weight of one answer in the share of errors: a third of the answers of the
@@ -384,28 +380,26 @@
 	serving_run_gate(server);
 }
 
-/* Whether a run ends because its caller's time does. */
-static bool is_out_of_time(const struct serving *serving)
-{
-	return now(serving->server) >=
-	       serving->terms.deadline_us - CANCEL_EARLY_US;
-}
-
 /*
  * End a run while the upstream works on it. Closing the connection tells the
- * upstream; how far it has got cannot be known. One that took all the time that
- * its caller had shows how slow the upstream is; any other shows nothing.
+ * upstream; how far it has got cannot be known once a byte of the request has
+ * left. One that took all the time that its caller had shows how slow the
+ * upstream is; any other shows nothing.
  */
 static void break_off(struct serving *serving, struct call_outcome *outcome)
 {
 	struct server *server = serving->server;
 	int64_t now_us = clock_monotonic_us();
 	int64_t took_us = now_us - serving->sent_us;
+	bool sent = http_client_was_sent(serving->transfer);
 
 	http_client_cancel(serving->transfer);
-	outcome->verdict = VERDICT_MAY_HAVE_RUN;
-	if (is_out_of_time(serving)) {
-		outcome->reason = CALL_DEADLINE;
+	if (sent) {
+		outcome->verdict = VERDICT_MAY_HAVE_RUN;
+		server->refused_count = 0;
+	}
+	if (sent && outcome->reason == CALL_DEADLINE) {
+		histogram_add(&upstream_time, took_us);
 		gate_done(server->options.gate, &serving->gate, GATE_LATE,
 			  took_us, now_us);
 		if (serving->timed)
@@ -454,18 +448,24 @@
 	 * repeated is left to end whole: half of it would be worse. */
 	if (serving->state == SERVING_RUNNING && !serving->repeatable)
 		return;
-	serving_give_up(serving, CALL_CANCELLED);
+	serving_give_up(serving, CALL_PEER_LOST);
 }
 
-/* A run goes on until its caller's time is over: ended earlier it would prove
- * nothing, and its caller would be refused while an answer may yet come. */
-static int64_t wait_until_us(const struct serving *serving, int64_t wait_us)
+/*
+ * What has not run is given up while there is time for that proof to reach the
+ * caller. A run goes on until its caller's time is over: ended earlier it would
+ * prove nothing, and its caller would be refused while an answer may yet come.
+ */
+static void set_times(struct serving *serving, int64_t wait_us)
 {
-	int64_t margin_us = wait_us / WAIT_MARGIN_SHARE;
+	int64_t margin_us = wait_us / PROOF_MARGIN_SHARE;
 
-	if (margin_us > WAIT_MARGIN_US)
-		margin_us = WAIT_MARGIN_US;
-	return serving->terms.deadline_us - margin_us;
+	if (margin_us > PROOF_MARGIN_US)
+		margin_us = PROOF_MARGIN_US;
+	serving->wait_until_us = now(serving->server) + wait_us - margin_us;
+	/* The loop's time is that of the turn's beginning: counted from it the
+	 * run would end before its caller's time does. */
+	serving->terms.deadline_us = clock_monotonic_us() + wait_us;
 }
 
 static void fill_gate_request(struct serving *serving,
@@ -477,7 +477,7 @@
 	memcpy(gate->tenant, request->terms.tenant, sizeof(gate->tenant));
 	gate->weight = request->terms.weight;
 	gate->queue_max = request->queue_max;
-	gate->deadline_us = wait_until_us(serving, request->wait_us);
+	gate->deadline_us = serving->wait_until_us;
 	/* An answer that comes too late to be worth much must not take the
 	 * place of one that would come in time: where it cannot be met, the
 	 * caller's node learns it at once and may try elsewhere. */
@@ -498,9 +498,7 @@
 	serving->server = server;
 	serving->id = frame->id;
 	serving->terms = request->terms;
-	/* Not the time of the loop, which the turn began with: the run would
-	 * end before its caller's time does. */
-	serving->terms.deadline_us = clock_monotonic_us() + request->wait_us;
+	set_times(serving, request->wait_us);
 	serving->repeatable = request->repeatable;
 	memcpy(serving->method, request->method, sizeof(serving->method));
 	serving->target = strndup((const char *)request->target.data,
--- a/src/call/serving.h
+++ b/src/call/serving.h
@@ -30,6 +30,7 @@
 	struct call_id id;
 	enum serving_state state;
 	struct call_terms terms;
+	int64_t wait_until_us; /* while it can be proved that it has not run */
 	bool repeatable;
 	char method[METHOD_SIZE];
 	char *target;
--- a/src/call/trace.h
+++ b/src/call/trace.h
@@ -14,9 +14,9 @@
  *		[ unreachable]; ...
  *
  * "left" is what the caller's time had left when the try ended, "load" is what
- *the upstream told last and how old that was, "in" the own calls there, "fails"
- *its failures in a row; "far" is another data centre, "unreachable" that
- *membership does not hear it.
+ * the upstream told last and how old that was, "in" the own calls there,
+ *"fails" its failures in a row; "far" is another data centre, "unreachable"
+ *that membership does not hear it.
  */
 
 enum { TRACE_SIZE = 640 };
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -227,6 +227,18 @@
 	request->connected_fd = fd == NET_NONE ? 0 : fd;
 }
 
+/* A connection that is still being made proves that nothing has run; it is
+ * given up while the caller can be told so. */
+static int64_t connect_ms(const struct serving *serving, int64_t now_us)
+{
+	int64_t most_ms = serving->server->options.connect_timeout_ms;
+	int64_t left_ms = (serving->wait_until_us - now_us) / US_PER_MS;
+
+	if (left_ms < 1)
+		return 1;
+	return left_ms < most_ms ? left_ms : most_ms;
+}
+
 struct http_transfer *upstream_send(struct serving *serving,
 				    http_answer_fn *done, int64_t now_us)
 {
@@ -246,8 +258,7 @@
 		.headers = headers,
 		.body = buffer_data(&serving->body),
 		.body_size = buffer_size(&serving->body),
-		.connect_timeout_ms =
-			serving->server->options.connect_timeout_ms,
+		.connect_timeout_ms = connect_ms(serving, now_us),
 		.timeout_ms = wait_ms > 0 ? wait_ms : 1,
 		.max_answer_bytes = serving->server->options.answer_bytes_max,
 		.echo = names->passes_request_id ? names->request_id : NULL,
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -264,6 +264,11 @@
 	return transfer;
 }
 
+bool http_client_was_sent(const struct http_transfer *transfer)
+{
+	return transfer->written;
+}
+
 void http_client_cancel(struct http_transfer *transfer)
 {
 	if (transfer->conn)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -119,6 +119,9 @@
 				       const struct http_request *request,
 				       http_answer_fn *done, void *data);
 
+/** http_client_was_sent() - whether a byte of the request has left. */
+bool http_client_was_sent(const struct http_transfer *transfer);
+
 /** http_client_cancel() - close its connection; @done is not called. */
 void http_client_cancel(struct http_transfer *transfer);
 
--- a/src/wire/identity.h
+++ b/src/wire/identity.h
@@ -18,7 +18,7 @@
  */
 
 enum {
-	WIRE_PROTOCOL = 5,
+	WIRE_PROTOCOL = 6,
 	NAME_SIZE = 64, /* of deployments, data centres, instances */
 	KEY_BYTES = 32,
 	NONCE_BYTES = 16,
