call: a run whose connection was lost goes on

Cause: the caller's node stood still for 0.7 s; the node beside the upstream took its connection for lost, and 500 ms later gave up the run of a request that may be repeated. Mend: only what still waits is given up; a run ends with its caller's time. What that costs: runs for nodes that died hold their slots until they end.

--- a/src/call/deadline_test.c
+++ b/src/call/deadline_test.c
@@ -208,6 +208,35 @@
 	path_teardown();
 }
 
+/*
+ * A caller was told 502 with 509 ms left, and its upstream was at work. Its
+ * node had stood still for 0.7 s, taking over configurations of 5,000 routes
+ * one after the other; the node beside the upstream had closed the silent
+ * connection, given the run up 500 ms later, as nobody had asked for it, and
+ * told so when the caller's node came back. Seen: "cancelled take=985" in
+ * "tried", "peer_silent" of that node, no line beside the upstream.
+ */
+Test(deadline, a_run_whose_connection_was_lost_goes_on)
+{
+	struct server *server;
+	struct path_result *result;
+	int64_t deadline_us;
+
+	set_up(false);
+	server = &path.b.calls.server;
+	server->options.orphan_us = 10 * US_PER_MS;
+	result = send_within("/view", "1000");
+	path_until(&path.upstream.ran, 1, "it runs");
+	deadline_us = server->servings->terms.deadline_us;
+	serving_orphan(server->servings);
+	path_turn(50);
+	cr_expect(!path.upstream.hung_up ||
+			  loop_now_us(&path.loop) >= deadline_us,
+		  "broken off");
+	path_until(&result->answers, 1, "an answer");
+	path_teardown();
+}
+
 /*
  * A request that may not be repeated could be begun and broken off after 1 ms:
  * its caller's node had sent it in the turn in which its time ended, so that it
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -444,11 +444,10 @@
 {
 	struct serving *serving = data;
 
-	/* Its caller's node has not come back. A request that may not be
-	 * repeated is left to end whole: half of it would be worse. */
-	if (serving->state == SERVING_RUNNING && !serving->repeatable)
-		return;
-	serving_give_up(serving, CALL_PEER_LOST);
+	/* Its caller's node has not come back. It may only stand still, and
+	 * asks for a run later: that goes on until the caller's time is over. */
+	if (serving->state != SERVING_RUNNING)
+		serving_give_up(serving, CALL_PEER_LOST);
 }
 
 /*
