profile: the reading of roll-out orders in a module of its own

The list has a handle of its own; all places that dropped the watch drop it too, and the dump still says that it watches while the list is in flight. Ruled out: moving the two tests of orders in reader_test.c: they test that the watch goes on as the list says, which is the reader's part. Conclusion: no change of behaviour.

--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -21,6 +21,7 @@
 	"Bodies from the platform's service with a wrong content");
 
 static void pump(struct reader *reader);
+static void orders_listed(const struct store_result *failure, void *data);
 
 static void on_timer(struct timer *timer, void *data)
 {
@@ -37,7 +38,6 @@
 	reader->store = store;
 	reader->keeper = keeper;
 	reader->members = options->members;
-	reader->orders = options->orders;
 	reader->data = options->data;
 	reader->form = options->form;
 	reader_core_init(&reader->core, options->election, &options->lease,
@@ -47,6 +47,8 @@
 	snprintf(reader->holder, sizeof(reader->holder), "%s", options->holder);
 	backoff_init(&reader->body_backoff, BODY_BACKOFF_BASE_MS,
 		     BODY_BACKOFF_MOST_MS);
+	orders_init(&reader->orders, store, options->orders, options->data,
+		    orders_listed, reader);
 	timer_init(&reader->timer, on_timer, reader);
 	for (i = 0; i < READER_BODIES_MAX; i++)
 		reader->bodies[i].reader = reader;
@@ -59,13 +61,20 @@
 	*call = NULL;
 }
 
+/* The list of orders comes before the watch: one of the two is in flight. */
+static void stop_reading(struct reader *reader)
+{
+	orders_cancel(&reader->orders);
+	cancel(&reader->head_call);
+}
+
 void reader_finish(struct reader *reader)
 {
 	int i;
 
 	timer_cancel(reader->loop, &reader->timer);
 	cancel(&reader->lease_call);
-	cancel(&reader->head_call);
+	stop_reading(reader);
 	cancel(&reader->probe_call);
 	cancel(&reader->members_call);
 	cancel(&reader->find_call);
@@ -193,24 +202,6 @@
 	return READER_HEAD_OLDER;
 }
 
-static void tell_orders(struct reader *reader,
-			const struct store_result *result)
-{
-	if (reader->orders && result->item_count)
-		reader->orders(result->items, result->item_count, reader->data);
-}
-
-/* The head is read after the orders: the watch goes on from where those were
- * read, or an order between the two reads would never be heard of. */
-static void go_on_from_orders(struct reader *reader,
-			      struct store_result *result)
-{
-	if (reader->orders_revision &&
-	    reader->orders_revision < result->revision)
-		result->revision = reader->orders_revision;
-	reader->orders_revision = 0;
-}
-
 static void head_done(const struct store_result *result, void *data)
 {
 	struct reader *reader = data;
@@ -218,72 +209,22 @@
 	struct store_result last = *result;
 
 	reader->head_call = NULL;
-	tell_orders(reader, result);
+	orders_watched(&reader->orders, &last);
 	/* The lease may have lapsed meanwhile: a head that comes late is
 	 * ordered by its version like any other, so it does no harm. */
 	if (result->outcome == STORE_TOOK_EFFECT)
 		use = use_head(reader, result);
-	go_on_from_orders(reader, &last);
-	reader->orders_present = result->reason == STORE_COMPACTED;
 	reader_core_head(&reader->core, &last, use, clock_monotonic_us());
 	pump(reader);
 }
 
-static void list_orders(struct reader *reader, const char *after);
-static void watch_head(struct reader *reader, uint64_t revision);
-
-static void orders_listed(const struct store_result *result, void *data)
-{
-	struct reader *reader = data;
-
-	reader->head_call = NULL;
-	/* A service that knows no lists has no orders either, and its versions
-	 * must come all the same. */
-	if (result->reason == STORE_REJECTED ||
-	    result->reason == STORE_ABSENT) {
-		log_warn("reader", "orders_unread",
-			 LOG_TEXT("reason", result->err.text));
-		watch_head(reader, 0);
-		return;
-	}
-	if (result->outcome != STORE_TOOK_EFFECT) {
-		reader_core_head(&reader->core, result, READER_HEAD_KNOWN,
-				 clock_monotonic_us());
-		pump(reader);
-		return;
-	}
-	tell_orders(reader, result);
-	if (!reader->orders_revision)
-		reader->orders_revision = result->revision;
-	if (result->more && result->item_count)
-		list_orders(reader, result->items[result->item_count - 1].key);
-	else
-		watch_head(reader, 0);
-}
-
-/* What is older than the present is told by the watch that goes on from there;
- * a list of the present costs ten times as much, and every node that steps in
- * asks for one. */
-static void list_orders(struct reader *reader, const char *after)
-{
-	const struct store_request request = {
-		.kind = STORE_LIST,
-		.key = KEY_ORDERS,
-		.after = after,
-		.may_be_old = !reader->orders_present,
-	};
-
-	reader->head_call =
-		store_send(reader->store, &request, orders_listed, reader);
-}
-
 static void watch_head(struct reader *reader, uint64_t revision)
 {
 	struct store_request request = {
 		.kind = STORE_WATCH,
 		.key = KEY_HEAD,
 		.revision = revision,
-		.with_orders = reader->orders != NULL,
+		.with_orders = orders_are_read(&reader->orders),
 		.wait_ms = reader->core.election == READER_BY_RANK
 				   ? READER_LONG_WATCH_MS
 				   : READER_WATCH_MS,
@@ -293,6 +234,19 @@
 		store_send(reader->store, &request, head_done, reader);
 }
 
+static void orders_listed(const struct store_result *failure, void *data)
+{
+	struct reader *reader = data;
+
+	if (!failure) {
+		watch_head(reader, 0);
+		return;
+	}
+	reader_core_head(&reader->core, failure, READER_HEAD_KNOWN,
+			 clock_monotonic_us());
+	pump(reader);
+}
+
 static bool body_out(const struct reader *reader,
 		     const uint8_t hash[CONTENT_HASH_BYTES])
 {
@@ -486,8 +440,8 @@
 		call_lease(reader, order->lease);
 		return;
 	case READER_WATCH_HEAD:
-		if (reader->orders && !order->revision)
-			list_orders(reader, NULL);
+		if (orders_are_read(&reader->orders) && !order->revision)
+			orders_list(&reader->orders);
 		else
 			watch_head(reader, order->revision);
 		return;
@@ -495,7 +449,7 @@
 		get_members(reader);
 		return;
 	case READER_STOP_WATCH:
-		cancel(&reader->head_call);
+		stop_reading(reader);
 		return;
 	case READER_PROBE:
 		probe(reader);
@@ -556,7 +510,7 @@
 
 void reader_withdraw(struct reader *reader)
 {
-	cancel(&reader->head_call);
+	stop_reading(reader);
 	cancel(&reader->probe_call);
 	reader->core.head_out = false;
 	if (reader->core.election == READER_BY_RANK) {
@@ -602,7 +556,7 @@
 
 	return json_pack("{s:o, s:b, s:I, s:I, s:I, s:I, s:b}", "lease",
 			 lease_dump(&reader->core.lease, now_us), "watching",
-			 reader->head_call != NULL, "revision",
+			 reader->orders.call || reader->head_call, "revision",
 			 (json_int_t)reader->core.revision, "heads",
 			 (json_int_t)reader->heads, "older_heads",
 			 (json_int_t)reader->older, "bad_bodies",
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -10,6 +10,7 @@
 #include "event/loop.h"
 #include "store/store.h"
 #include "profile/keeper.h"
+#include "profile/orders.h"
 #include "profile/reader_core.h"
 
 /**
@@ -41,13 +42,6 @@
  */
 typedef void reader_found_fn(const char *text, size_t size, void *data);
 
-/**
- * typedef reader_orders_fn - operators have ordered or withdrawn roll-outs
- * @items: keys below KEY_ORDERS, in order of change
- */
-typedef void reader_orders_fn(const struct store_item *items, uint32_t count,
-			      void *data);
-
 /**
  * struct reader_options - settings
  * @form: what the head is written in
@@ -65,7 +59,7 @@
 	struct lease_options lease;
 	uint64_t seed;
 	reader_members_fn *members;
-	reader_orders_fn *orders;
+	orders_heard_fn *orders;
 	void *data;
 };
 
@@ -80,10 +74,6 @@
 
 /**
  * struct reader - one node's reader
- * @orders_revision: the store's when all orders were read; 0: they are to be
- *	read before the head
- * @orders_present: an old list will not do the next time: the history since it
- *	was made may be gone
  * @older: heads older than what is in force
  * @bad_bodies: bodies that did not have the content of their hash
  */
@@ -96,9 +86,7 @@
 	char data_centre[READER_DATA_CENTRE_SIZE];
 	char holder[STORE_HOLDER_SIZE];
 	reader_members_fn *members;
-	reader_orders_fn *orders;
-	uint64_t orders_revision;
-	bool orders_present;
+	struct orders orders;
 	void *data;
 	struct timer timer;
 	struct store_call *lease_call;
--- a/src/profile/reader_test.c
+++ b/src/profile/reader_test.c
@@ -273,8 +273,8 @@
 {
 	reader_finish(&reader);
 	reader.core.election = READER_BY_RANK;
-	reader.orders = hear_orders;
-	reader.orders_revision = 0;
+	reader.orders.heard = hear_orders;
+	reader.orders.revision = 0;
 	orders_heard = 0;
 	reader_set_rank(&reader, 0);
 }
