profile: one function for the answers that mean the same to all commands

Cause: task_accept.c and task_view.c took over a head and drafts and went on with a difference or a walk in the same 17 lines; task_draft.c did half of it. Now: task_take() in task_common.c; the parts keep what each does next. The two functions for differences and walks are its own and no longer in task.h. A command on drafts never has a difference or a walk, so it may ask too. Ruled out: one switch for all parts: what follows on a head differs in each, and it would need a table of functions. 11 lines of the same shape remain. Conclusion: no change of behaviour; the taking over is written once.

--- a/src/profile/task.h
+++ b/src/profile/task.h
@@ -185,12 +185,18 @@
 void task_difference(struct task *task,
 		     const uint8_t before[CONTENT_HASH_BYTES],
 		     const uint8_t after[CONTENT_HASH_BYTES]);
-bool task_difference_input(struct task *task,
-			   const struct store_result *result);
 
 /** task_walk() - collect changes back from the head's, then end. */
 void task_walk(struct task *task, uint64_t until);
-bool task_walk_input(struct task *task, const struct store_result *result);
+
+/**
+ * task_take() - the answers that mean the same to all commands
+ *
+ * Takes over a head or drafts, and goes on with a difference or a walk.
+ *
+ * Return: true if nothing is left to do with @result
+ */
+bool task_take(struct task *task, const struct store_result *result);
 
 /** task_after_commit() - write histories, then tidy the drafts. */
 void task_after_commit(struct task *task);
--- a/src/profile/task_accept.c
+++ b/src/profile/task_accept.c
@@ -401,17 +401,14 @@
 
 void task_accept_input(struct task *task, const struct store_result *result)
 {
-	if (task_difference_input(task, result) ||
-	    task_walk_input(task, result))
+	if (task_take(task, result))
 		return;
 	switch (task->phase) {
 	case PHASE_HEAD:
-		if (task_take_head(task, result))
-			head_read(task);
+		head_read(task);
 		return;
 	case PHASE_DRAFTS:
-		if (task_take_drafts(task, result))
-			drafts_read(task);
+		drafts_read(task);
 		return;
 	case PHASE_FIND_VERSION:
 		find_version(task, result);
--- a/src/profile/task_common.c
+++ b/src/profile/task_common.c
@@ -293,7 +293,8 @@
 
 /* The outcome is set already: a text that cannot be read leaves the
  * difference out, it does not change what the command did. */
-bool task_difference_input(struct task *task, const struct store_result *result)
+static bool difference_input(struct task *task,
+			     const struct store_result *result)
 {
 	bool found = result->outcome == STORE_TOOK_EFFECT;
 
@@ -343,7 +344,7 @@
 		walk_end(task);
 }
 
-bool task_walk_input(struct task *task, const struct store_result *result)
+static bool walk_input(struct task *task, const struct store_result *result)
 {
 	struct error err = ERROR_INIT;
 	struct changes one;
@@ -368,3 +369,17 @@
 	changes_finish(&one);
 	return true;
 }
+
+bool task_take(struct task *task, const struct store_result *result)
+{
+	if (difference_input(task, result) || walk_input(task, result))
+		return true;
+	switch (task->phase) {
+	case PHASE_HEAD:
+		return !task_take_head(task, result);
+	case PHASE_DRAFTS:
+		return !task_take_drafts(task, result);
+	default:
+		return false;
+	}
+}
--- a/src/profile/task_draft.c
+++ b/src/profile/task_draft.c
@@ -157,17 +157,16 @@
 
 void task_draft_input(struct task *task, const struct store_result *result)
 {
+	if (task_take(task, result))
+		return;
 	switch (task->phase) {
 	case PHASE_WRITE_BODY:
 		body_written(task, result);
 		return;
 	case PHASE_HEAD:
-		if (task_take_head(task, result))
-			task_read(task, PHASE_DRAFTS, KEY_DRAFTS);
+		task_read(task, PHASE_DRAFTS, KEY_DRAFTS);
 		return;
 	case PHASE_DRAFTS:
-		if (!task_take_drafts(task, result))
-			return;
 		if (task->request.action == EDITOR_DISCARD)
 			discard(task);
 		else
--- a/src/profile/task_view.c
+++ b/src/profile/task_view.c
@@ -202,17 +202,14 @@
 
 void task_view_input(struct task *task, const struct store_result *result)
 {
-	if (task_difference_input(task, result) ||
-	    task_walk_input(task, result))
+	if (task_take(task, result))
 		return;
 	switch (task->phase) {
 	case PHASE_HEAD:
-		if (task_take_head(task, result))
-			head_read(task);
+		head_read(task);
 		return;
 	case PHASE_DRAFTS:
-		if (task_take_drafts(task, result))
-			drafts_read(task);
+		drafts_read(task);
 		return;
 	case PHASE_HISTORY:
 		history_read(task, result);
