bench: the profile that all benches run under stands once

Cause: common.c and crowd_config.c held the same 13 lines of a profile; a change to one would have let the capacity bench measure under another. Now: bench_profile_print() takes the service and what is added to the longest deadline; both callers use it. Ruled out: one rule for the deadline: the crowd takes the generation modulo 1000, the others do not, and soak goes past that with many steps.

--- a/bench/common.c
+++ b/bench/common.c
@@ -11,6 +11,7 @@
 enum {
 	LINE_SIZE = 4096,
 	PROFILE_SIZE = 4096,
+	SEAL_MS = 5000,
 	READY_TIMEOUT_MS = 20000,
 	BEGIN_TIMEOUT_MS = 30000,
 	LOG_WAIT_US = 2 * 1000 * 1000,
@@ -139,27 +140,34 @@
 	return failures ? 1 : 0;
 }
 
+size_t bench_profile_print(char *text, size_t size, const char *service,
+			   uint32_t generation, uint32_t added_ms)
+{
+	return (size_t)snprintf(
+		text, size,
+		"# generation %u\n"
+		"services = [\"%s\"]\n"
+		"drain_ms = 5000\n"
+		"cold_start_ms = 0\n"
+		"[kind.read]\nweight = 1.0\ndeadline_ms = 2000\n"
+		"repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
+		"[kind.review]\nweight = 0.3\ndeadline_ms = 2000\n"
+		"repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
+		"[kind.seal]\nweight = 4.0\ndeadline_ms = %u\n"
+		"repeatable = false\nattempts_max = 3\nqueue_max = 64\n"
+		"[[route]]\nmethod = \"GET\"\npath = \"/review*\"\n"
+		"kind = \"review\"\n"
+		"[[route]]\nmethod = \"GET\"\npath = \"/*\"\nkind = \"read\"\n"
+		"[[route]]\nmethod = \"POST\"\npath = \"/*\"\n"
+		"kind = \"seal\"\n",
+		generation, service, SEAL_MS + added_ms);
+}
+
 const char *bench_profile(uint32_t generation)
 {
 	static char text[PROFILE_SIZE];
 
-	snprintf(text, sizeof(text),
-		 "# generation %u\n"
-		 "services = [\"*\"]\n"
-		 "drain_ms = 5000\n"
-		 "cold_start_ms = 0\n"
-		 "[kind.read]\nweight = 1.0\ndeadline_ms = 2000\n"
-		 "repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
-		 "[kind.review]\nweight = 0.3\ndeadline_ms = 2000\n"
-		 "repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
-		 "[kind.seal]\nweight = 4.0\ndeadline_ms = %u\n"
-		 "repeatable = false\nattempts_max = 3\nqueue_max = 64\n"
-		 "[[route]]\nmethod = \"GET\"\npath = \"/review*\"\n"
-		 "kind = \"review\"\n"
-		 "[[route]]\nmethod = \"GET\"\npath = \"/*\"\nkind = \"read\"\n"
-		 "[[route]]\nmethod = \"POST\"\npath = \"/*\"\n"
-		 "kind = \"seal\"\n",
-		 generation, 5000 + generation);
+	bench_profile_print(text, sizeof(text), "*", generation, generation);
 	return text;
 }
 
--- a/bench/common.h
+++ b/bench/common.h
@@ -58,6 +58,18 @@
 /** bench_status() - exit status: 0 if every bench_must() held. */
 int bench_status(void);
 
+/**
+ * bench_profile_print() - the profile that all benches run under
+ * @text: up to @size bytes
+ * @service: for whom it is; "*" for all
+ * @generation: varies it
+ * @added_ms: to the deadline of the kind that takes longest
+ *
+ * Return: bytes written.
+ */
+size_t bench_profile_print(char *text, size_t size, const char *service,
+			   uint32_t generation, uint32_t added_ms);
+
 /** bench_profile() - a profile of all services; @generation varies it. */
 const char *bench_profile(uint32_t generation);
 
--- a/bench/crowd_config.c
+++ b/bench/crowd_config.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "common.h"
 #include "crowd.h"
 #include "fleet/fetch.h"
 #include "membership/members_defs.h"
@@ -12,30 +13,21 @@
  * head and offered to the keeper of the crowd's peer as a reader would.
  */
 
-enum { TEXT_SIZE = 2048 };
+enum {
+	TEXT_SIZE = 2048,
+	SERVICE_SIZE = 32,
+	/* Its deadline has four digits then, whatever the generation. */
+	SEAL_STEPS = 1000,
+};
 
 static size_t make_text(const struct crowd *crowd, uint32_t i, char *text)
 {
 	uint32_t generation = crowd->generations[i];
+	char service[SERVICE_SIZE];
 
-	return (size_t)snprintf(
-		text, TEXT_SIZE,
-		"# generation %u\n"
-		"services = [\"service-%04u\"]\n"
-		"drain_ms = 5000\n"
-		"cold_start_ms = 0\n"
-		"[kind.read]\nweight = 1.0\ndeadline_ms = 2000\n"
-		"repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
-		"[kind.review]\nweight = 0.3\ndeadline_ms = 2000\n"
-		"repeatable = true\nattempts_max = 3\nqueue_max = 64\n"
-		"[kind.seal]\nweight = 4.0\ndeadline_ms = %u\n"
-		"repeatable = false\nattempts_max = 3\nqueue_max = 64\n"
-		"[[route]]\nmethod = \"GET\"\npath = \"/review*\"\n"
-		"kind = \"review\"\n"
-		"[[route]]\nmethod = \"GET\"\npath = \"/*\"\nkind = \"read\"\n"
-		"[[route]]\nmethod = \"POST\"\npath = \"/*\"\n"
-		"kind = \"seal\"\n",
-		generation, i, 5000 + generation % 1000);
+	snprintf(service, sizeof(service), "service-%04u", i);
+	return bench_profile_print(text, TEXT_SIZE, service, generation,
+				   generation % SEAL_STEPS);
 }
 
 static void set_profile(struct crowd *crowd, uint32_t i)
