operator: what answers exchanges no longer includes the server

Cause: server.c called views, drill and profiles, and each of these included server.h for the server's type and for findings of health: three circles, so that none could be read without the others. Includes go one way: server to views, drill and profiles, these to operator_defs.h. Ruled out: giving drill and views only the members that they use: dump and health need most of the server, and each call would take six parameters. Conclusion: no change of behaviour.

--- a/src/operator/drill.h
+++ b/src/operator/drill.h
@@ -1,7 +1,7 @@
 #ifndef OPERATOR_DRILL_H
 #define OPERATOR_DRILL_H
 
-#include "operator/server.h"
+#include "operator/operator_defs.h"
 
 /**
  * DOC: drill
--- a/src/operator/profiles.h
+++ b/src/operator/profiles.h
@@ -1,7 +1,7 @@
 #ifndef OPERATOR_PROFILES_H
 #define OPERATOR_PROFILES_H
 
-#include "operator/server.h"
+#include "operator/operator_defs.h"
 #include "operator/target.h"
 
 /**
--- a/src/operator/server.h
+++ b/src/operator/server.h
@@ -1,16 +1,13 @@
 #ifndef OPERATOR_SERVER_H
 #define OPERATOR_SERVER_H
 
-#include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
 
 #include "base/address.h"
 #include "base/error.h"
 #include "event/loop.h"
-#include "http/server.h"
-#include "operator/status.h"
-#include "wire/filter.h"
+#include "operator/operator_defs.h"
 
 /**
  * DOC: operator server
@@ -23,55 +20,6 @@
  * content type that no page of a browser can send to another site by itself.
  */
 
-enum {
-	OPERATOR_SECTIONS_MAX = 32,
-	OPERATOR_CHECKS_MAX = 32,
-	OPERATOR_NAME_SIZE = 32,
-	OPERATOR_TOKEN_SIZE = 256,
-	OPERATOR_BODY_MAX_BYTES = 1024 * 1024,
-	HEALTH_TEXT_SIZE = 256,
-};
-
-/** typedef operator_section_fn - one section of the dump; a new reference. */
-typedef json_t *operator_section_fn(void *data);
-
-/** enum health_state - how grave a finding is. */
-enum health_state { HEALTH_OK, HEALTH_WARN, HEALTH_BAD };
-
-/**
- * struct health_finding - what a check found; starts as HEALTH_OK
- * @text: what is wrong, empty if nothing is
- * @todo: what an operator can do
- */
-struct health_finding {
-	enum health_state state;
-	char text[HEALTH_TEXT_SIZE];
-	char todo[HEALTH_TEXT_SIZE];
-};
-
-typedef void operator_check_fn(struct health_finding *finding, void *data);
-
-/** typedef operator_status_fn - fill in a status that is all zero. */
-typedef void operator_status_fn(struct operator_status *status, void *data);
-
-/** typedef operator_drill_fn - cut off the networks of @filter, and no others. */
-typedef void operator_drill_fn(const struct wire_filter *filter, void *data);
-
-struct operator_section {
-	char name[OPERATOR_NAME_SIZE];
-	operator_section_fn *dump;
-	void *data;
-};
-
-struct operator_check {
-	char name[OPERATOR_NAME_SIZE];
-	operator_check_fn *check;
-	void *data;
-};
-
-struct editor;
-struct profile_task;
-
 /**
  * struct operator_options - where to listen and for whom
  * @address: port 0 takes one from the kernel
@@ -87,24 +35,6 @@
 	const char *instance;
 };
 
-struct operator_server {
-	struct loop *loop;
-	struct http_server http;
-	struct editor *editor;
-	struct profile_task *tasks;
-	char token[OPERATOR_TOKEN_SIZE];
-	char instance[NAME_SIZE];
-	operator_status_fn *status;
-	void *status_data;
-	operator_drill_fn *drill;
-	void *drill_data;
-	struct wire_filter drill_filter;
-	struct operator_section sections[OPERATOR_SECTIONS_MAX];
-	uint32_t section_count;
-	struct operator_check checks[OPERATOR_CHECKS_MAX];
-	uint32_t check_count;
-};
-
 bool operator_server_init(struct operator_server *server, struct loop *loop,
 			  const struct operator_options *options,
 			  struct error *err);
@@ -135,11 +65,4 @@
 void operator_set_drill(struct operator_server *server,
 			operator_drill_fn *drill, void *data);
 
-/** health_set() - record a finding; the texts are cut to their size. */
-void health_set(struct health_finding *finding, enum health_state state,
-		const char *text, const char *todo);
-
-/** health_state_name() - "ok", "warn" or "bad". */
-const char *health_state_name(enum health_state state);
-
 #endif
--- a/src/operator/views.h
+++ b/src/operator/views.h
@@ -1,7 +1,7 @@
 #ifndef OPERATOR_VIEWS_H
 #define OPERATOR_VIEWS_H
 
-#include "operator/server.h"
+#include "operator/operator_defs.h"
 
 /**
  * DOC: views
