--- a/test/functional/examples_test.c
+++ b/test/functional/examples_test.c
@@ -5,7 +5,9 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "call/calls.h"
 #include "fleet/cluster.h"
+#include "node/leaving.h"
 
 /*
  * The examples as they are shipped, whole: every node with its settings, an
@@ -207,3 +209,37 @@
 	for (i = 0; i < sizeof(examples) / sizeof(examples[0]); i++)
 		run_example(&examples[i]);
 }
+
+/* The number behind @name at the start of a line of the settings that the
+ * platform fills in. */
+static long deployed_ms(const char *name)
+{
+	FILE *file = fopen("deploy/node.toml", "re");
+	char line[TEXT_SIZE];
+	long value = -1;
+
+	cr_assert_not_null(file);
+	while (fgets(line, sizeof(line), file))
+		if (!strncmp(line, name, strlen(name)))
+			value = strtol(line + strlen(name), NULL, 10);
+	fclose(file);
+	cr_assert_geq(value, 0, "no %s", name);
+	return value;
+}
+
+/*
+ * A request with a time of 3 s that came at the end of a stopping node's linger
+ * time was cancelled 4.5 s after the signal, while its upstream was at work:
+ * the drain time was shorter than what callers may name. A node has 6 s to
+ * stop; work in progress may go on for five sixths of them, and what is left
+ * after that must do for the last answers to be read.
+ */
+Test(examples, a_stop_leaves_work_its_time_and_ends_before_the_kill)
+{
+	enum { GRACE_MS = 6000, WORK_MS = GRACE_MS / 6 * 5, SLACK_MS = 300 };
+	long work_ms = deployed_ms("linger_ms = ") + deployed_ms("drain_ms = ");
+
+	cr_expect_geq(work_ms, WORK_MS);
+	cr_expect_leq(work_ms + CALLS_LAST_WORD_MS + LEAVING_LAST_WORDS_MS,
+		      GRACE_MS - SLACK_MS);
+}
