http: a stalled body does not end the request before it

A request at work at an upstream was given up when the body of the one behind it on its connection did not come within the idle time: the connection was closed. The stalled one is refused with 408 (it was not read whole, so it has not run) and the one before it is answered.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -539,6 +539,12 @@
 		refuse(conn, STATUS_TIMEOUT, "head-timeout");
 		return;
 	}
+	/* Closing would give up those before it, which are worked on. */
+	if (conn->reading && conn->reading != conn->exchanges &&
+	    conn->state == CONN_OPEN) {
+		refuse(conn, STATUS_TIMEOUT, "body-timeout");
+		return;
+	}
 	conn_free(conn);
 }
 
--- a/src/http/framing_test.c
+++ b/src/http/framing_test.c
@@ -372,6 +372,36 @@
 	}
 }
 
+/*
+ * A request that an upstream was at work on was given up because the body of
+ * the one behind it, on the same connection, did not come: the connection was
+ * closed after the idle time. Only what has not come whole may be refused for
+ * that.
+ */
+Test(framing, a_stalled_body_does_not_end_the_request_before_it, .init = setup,
+     .fini = teardown)
+{
+	static char text[TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	bool closed;
+
+	server.options.idle_timeout_ms = 60;
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n"
+		      "POST /now HTTP/1.1\r\nHost: h\r\n"
+		      "Content-Length: 10\r\n\r\n123");
+	closed = collect(fd, text);
+	cr_assert_not(closed, "closed: %s", text);
+	cr_expect_str_eq(text, "");
+	cr_assert_eq(kept_count, 1);
+	reply(kept[0], "one");
+	closed = collect(fd, text);
+	cr_expect(closed);
+	cr_expect_not_null(strstr(text, "one"), "%s", text);
+	cr_expect_not_null(strstr(text, "408"), "%s", text);
+	cr_expect_eq(requests, 1);
+	net_close(fd);
+}
+
 /* More than are worked on at once: the rest waits unread and none is lost. */
 Test(framing, a_full_pipeline_holds_the_caller_back, .init = setup,
      .fini = teardown)
