call: a drained node takes no call at all

It went on doing so once its own calls had drained, in the last tenth of a second or more before the process ends, and freed them without an answer then. They are refused as not run.

--- a/src/call/call.c
+++ b/src/call/call.c
@@ -205,7 +205,7 @@
 	size_t size;
 
 	http_exchange_body(exchange, &size);
-	if (caller->draining && !serves_another(exchange))
+	if (caller->drained || (caller->draining && !serves_another(exchange)))
 		return CALL_DRAINING;
 	if (caller->call_count + caller->early.count >=
 		    caller->options.calls_max ||
--- a/src/call/call.h
+++ b/src/call/call.h
@@ -93,7 +93,8 @@
 	struct timer tick;
 	int64_t tick_due_us;
 	struct timer push;
-	bool draining;
+	bool draining; /* takes only what work in progress calls for */
+	bool drained;  /* takes nothing */
 };
 
 /**
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -210,6 +210,7 @@
 		timer_set(calls->options.loop, timer, now_us + DRAIN_CHECK_US);
 		return;
 	}
+	calls->caller.drained = true;
 	if (calls->options.drained)
 		calls->options.drained(calls->options.data);
 }
--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -292,6 +292,32 @@
 	}
 }
 
+/*
+ * A call that an upstream made could be taken by a node that was about to end,
+ * and got no answer: calls for others are taken while work in progress goes on,
+ * and nothing said that it had ended.
+ */
+Test(link, a_drained_node_takes_no_call_at_all)
+{
+	const struct http_header hops = { HEADER_HOPS, "1" };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .headers = &hops,
+					      .header_count = 1 };
+	struct path_result *result;
+
+	path_setup();
+	calls_drain(&path.a.calls, 60000);
+	path_until(&path.a.drained, 1, "drained");
+	result = path_send(&request);
+	path_until(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 503, "%u", result->status);
+	cr_expect_str_eq(result->verdict, "not-run");
+	cr_expect_str_eq(result->reason, "draining");
+	cr_expect_eq(path.upstream.ran, 0);
+	path_teardown();
+}
+
 Test(link, what_outlives_the_drain_time_is_cancelled_with_its_verdict)
 {
 	struct path_result *result;
