call: an upstream's failure is handed on if nothing better comes

Callers got 502 of the node's own although an upstream had answered with 5xx: the request was tried elsewhere and refused there, and the answer was thrown away. The answer is kept until a better one comes.

--- a/src/call/call_test.c
+++ b/src/call/call_test.c
@@ -259,3 +259,28 @@
 	}
 	path_teardown();
 }
+
+/*
+ * Callers got 502 of the node's own although an upstream had answered: with
+ * 500, after which the request was tried elsewhere and refused there. In the
+ * log the last entries of "tried" were "upstream-error" and "late". What an
+ * upstream has said tells a caller more than that a second try was refused.
+ */
+Test(call, an_upstreams_failure_is_handed_on_if_nothing_better_comes)
+{
+	const struct path_request request = { .method = "GET",
+					      .path = "/view" };
+	struct path_result *result;
+
+	path_setup();
+	path.upstream.first = BEHAVE_ERROR;
+	path.upstream.then = BEHAVE_SHED;
+	result = path_send(&request);
+	path_until(&result->answers, 1, "an answer");
+	cr_expect_geq(path.upstream.requests, 2, "it is tried again");
+	cr_expect_eq(result->status, 500, "%u", result->status);
+	cr_expect_str_eq(result->verdict, "ran");
+	cr_expect_str_eq(result->upstream, "b");
+	cr_expect_eq(path.a.calls.caller.held_bytes, 0);
+	path_teardown();
+}
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -70,8 +70,10 @@
 	timer_cancel(caller->options.loop, &call->deadline);
 	timer_cancel(caller->options.loop, &call->reconnect);
 	placement_finish(&call->placement, caller->options.router);
-	caller->held_bytes -= call->body_size + call->answer.body_size;
+	caller->held_bytes -= call->body_size + call->answer.body_size +
+			      call->failure.body_size;
 	assembly_finish(&call->answer);
+	assembly_finish(&call->failure);
 	intake_finish(&call->intake);
 	config_unref(call->config);
 	DL_DELETE(caller->calls, call);
@@ -250,6 +252,27 @@
 		   now_us - call->started_us);
 }
 
+/* Hand an upstream's answer to the caller. */
+static void hand_on(struct call *call, const struct assembly *answer,
+		    const char *upstream)
+{
+	const struct reply_answer whole = {
+		.status = answer->status,
+		.headers = { buffer_data(&answer->headers),
+			     buffer_size(&answer->headers) },
+		.body = { buffer_data(&answer->body),
+			  buffer_size(&answer->body) },
+		.upstream = upstream,
+		.request_id = call->intake.terms.request_id,
+	};
+	int64_t total_us = clock_monotonic_us() - call->started_us;
+
+	counter_add(&ran, 1);
+	histogram_add(&total_time, total_us);
+	histogram_add(&added_time, total_us - answer->service_us);
+	reply_answer(call->exchange, call->caller->options.names, &whole);
+}
+
 static void fail(struct call *call, const struct attempt_action *action)
 {
 	struct call_outcome outcome = { .verdict = action->verdict,
@@ -268,8 +291,11 @@
 			    -1, call_reason_name(action->reason));
 	/* Also where the caller has hung up: for its user the request failed,
 	 * and without a line nobody could tell why. */
-	log_end(call, call_reason_name(outcome.reason), outcome.verdict, 0);
-	if (call->exchange) {
+	log_end(call, call_reason_name(outcome.reason), outcome.verdict,
+		call->failure.status);
+	if (call->exchange && call->failure.begun) {
+		hand_on(call, &call->failure, call->failed_upstream);
+	} else if (call->exchange) {
 		call_count_end(outcome.verdict);
 		reply_refusal(call->exchange, call->caller->options.names,
 			      &outcome, call->intake.terms.request_id, NULL);
@@ -290,22 +316,9 @@
 static void reply(struct call *call)
 {
 	const struct assembly *answer = &call->answer;
-	const struct reply_answer whole = {
-		.status = answer->status,
-		.headers = { buffer_data(&answer->headers),
-			     buffer_size(&answer->headers) },
-		.body = { buffer_data(&answer->body),
-			  buffer_size(&answer->body) },
-		.upstream = call->endpoint->record.instance,
-		.request_id = call->intake.terms.request_id,
-	};
-	int64_t total_us = clock_monotonic_us() - call->started_us;
 
 	take_report(call);
-	counter_add(&ran, 1);
-	histogram_add(&total_time, total_us);
-	histogram_add(&added_time, total_us - answer->service_us);
-	reply_answer(call->exchange, call->caller->options.names, &whole);
+	hand_on(call, answer, call->endpoint->record.instance);
 	call_leave_endpoint(call,
 			    is_error(answer->status) ? ENDPOINT_ERROR
 						     : ENDPOINT_ANSWERED,
@@ -314,6 +327,18 @@
 	call_free(call);
 }
 
+/* A second try may be refused, or bring nothing: what the upstream has said is
+ * the better answer then. */
+static void keep_failure(struct call *call)
+{
+	call->caller->held_bytes -= call->failure.body_size;
+	assembly_finish(&call->failure);
+	call->failure = call->answer;
+	memset(&call->answer, 0, sizeof(call->answer));
+	memcpy(call->failed_upstream, call->endpoint->record.instance,
+	       sizeof(call->failed_upstream));
+}
+
 /* The present try gave nothing to hand on; another upstream may do better. */
 static void try_elsewhere(struct call *call, enum call_reason reason)
 {
@@ -321,7 +346,8 @@
 
 	if (reason == CALL_UPSTREAM_ERROR) {
 		take_report(call);
-		call_leave_endpoint(call, ENDPOINT_ERROR, call->answer.load,
+		keep_failure(call);
+		call_leave_endpoint(call, ENDPOINT_ERROR, call->failure.load,
 				    name);
 	} else {
 		call_leave_endpoint(call, ENDPOINT_FAILED, -1, name);
--- a/src/call/calling.h
+++ b/src/call/calling.h
@@ -38,6 +38,9 @@
  * @endpoint: of the present try, NULL between tries
  * @began_us: when the present try began
  * @pushed: bytes of the body that were queued in the present try
+ * @failure: the last answer by which an upstream told of a failure of its own;
+ *	handed on unless a later try brings a better one
+ * @failed_upstream: whose that was
  * @placement: where its tries go
  * @trace: what they met, for the log
  * @reconnect: runs before the next connection is opened to ask
@@ -60,6 +63,8 @@
 	size_t pushed;
 	struct placement placement;
 	struct assembly answer;
+	struct assembly failure;
+	char failed_upstream[NAME_SIZE];
 	struct call_outcome refusal; /* of the last try */
 	struct trace trace;
 	struct timer deadline;
