node: signals may come until the process is gone

A node that was told to stop crashed at its very end (SIGSEGV behind its line 'stopped'): a second signal came while the process took itself apart, and its handler woke the event loop, which had been freed. Once the stop begins, further signals are ignored.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -54,6 +54,15 @@
 	signal(SIGPIPE, SIG_IGN);
 }
 
+/* A signal may come again until the process has ended, and its handler wakes a
+ * loop that is gone by then. */
+static void unwatch_signals(void)
+{
+	signal(SIGTERM, SIG_IGN);
+	signal(SIGINT, SIG_IGN);
+	signal(SIGHUP, SIG_IGN);
+}
+
 uint64_t node_seed(void)
 {
 	uint64_t seed;
@@ -457,6 +466,7 @@
 
 static void stop(struct node *node)
 {
+	unwatch_signals();
 	timer_cancel(&node->loop, &node->metrics_timer);
 	node_reload_finish(node);
 	timer_cancel(&node->loop, &node->last_words);
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -18,6 +18,8 @@
 	NODES = 2,
 	POLL_MS = 20,
 	LINE_SIZE = 8192,
+	/* Of 50 us at least; a node ends within seconds. */
+	SIGNAL_ROUNDS_MAX = 1000 * 1000,
 };
 
 static const char slow[] = "/seal?service_us=3000000";
@@ -307,3 +309,41 @@
 		close(halves[i]);
 	}
 }
+
+static void signal_until_gone(uint32_t i)
+{
+	const struct timespec pause = { .tv_nsec = 50000 };
+	struct process *process = &cluster.nodes[i].process;
+	int rounds;
+
+	for (rounds = 0; rounds < SIGNAL_ROUNDS_MAX; rounds++) {
+		process_signal(process, SIGTERM);
+		if (process_wait(process, 0))
+			break;
+		nanosleep(&pause, NULL);
+	}
+	cr_assert_lt(rounds, SIGNAL_ROUNDS_MAX, "node %u does not end", i);
+	cr_expect_eq(process->exit_status, 0, "node %u ends with %d", i,
+		     process->exit_status);
+}
+
+/*
+ * Nodes that were told to stop crashed at their very end. A second signal, to
+ * stop or to reload, came while the process took itself apart: the handler
+ * wakes the event loop, which was gone. Of 20 nodes that were sent signals
+ * until they were gone 7 ended with SIGSEGV, behind their line "stopped".
+ */
+Test(drain, signals_may_come_until_the_process_is_gone,
+     .init = start_with_short_drain, .fini = stop, .timeout = 120)
+{
+	enum { TIMES = 10 };
+	uint32_t times;
+	uint32_t i;
+
+	for (times = 0; times < TIMES; times++) {
+		for (i = 0; i < NODES; i++)
+			signal_until_gone(i);
+		for (i = 0; i < NODES; i++)
+			cr_assert(cluster_start_node(&cluster, i));
+	}
+}
