fleet: callers that keep a connection until the server closes it

Cause: the load sent what may not be repeated on fresh connections alone, and reads by the library's client, which does not tell whether a server that closed without an answer had read the request. A planned stop that cuts kept connections was not seen.

Callers on kept connections send one request after another, until the server closes; then they connect again. When a connection ends without an answer, the kernel is asked: an orderly end with all bytes confirmed proves that the server's process had read them, since unread bytes would have reset it. The record then says so. Records also keep the reason that the system gave.

Conclusion: what the soak may count as cut is known and not guessed.

--- a/test/fleet/load.c
+++ b/test/fleet/load.c
@@ -8,6 +8,7 @@
 #include <sys/timerfd.h>
 #include <unistd.h>
 
+#include "fleet/load_kept.h"
 #include "os/clock.h"
 
 enum {
@@ -58,6 +59,21 @@
 					 memcmp(answer->body, id, size) != 0);
 }
 
+void load_answered(struct load *load, uint32_t index,
+		   const struct http_answer *answer)
+{
+	struct load_record *record = &load->records[index];
+	const char *reason = http_answer_header(answer, "Geraniumplank-Reason");
+
+	record->status = answer->status;
+	record->timed_out = answer->timed_out;
+	record->end = end_of(answer);
+	if (reason)
+		snprintf(record->reason, sizeof(record->reason), "%s", reason);
+	if (record->end == LOAD_ANSWERED)
+		record->crossed = is_crossed(load, index, answer);
+}
+
 static void done(const struct http_answer *answer, void *data)
 {
 	struct in_flight *flight = data;
@@ -65,15 +81,12 @@
 	struct load_record *record = &load->records[flight->record];
 
 	record->latency_us = clock_monotonic_us() - record->sent_us;
-	record->status = answer->status;
-	record->end = end_of(answer);
-	if (record->end == LOAD_ANSWERED)
-		record->crossed = is_crossed(load, flight->record, answer);
+	load_answered(load, flight->record, answer);
 	load->in_flight--;
 	free(flight);
 }
 
-static struct load_record *record_new(struct load *load)
+struct load_record *load_record_new(struct load *load)
 {
 	if (load->count == load->capacity) {
 		load->capacity = load->capacity ? load->capacity * 2
@@ -167,7 +180,7 @@
 
 static void send_next(struct load *load)
 {
-	struct load_record *record = record_new(load);
+	struct load_record *record = load_record_new(load);
 
 	record->kind = choose_kind(load);
 	record->tenant = choose_tenant(load);
@@ -236,7 +249,8 @@
 	    !alarm_init(load, err))
 		return false;
 	load->next_us = clock_monotonic_us();
-	return http_client_init(&load->client, &load->loop, err);
+	return http_client_init(&load->client, &load->loop, err) &&
+	       load_kept_begin(load);
 }
 
 void load_run(struct load *load, int64_t duration_ms)
@@ -264,6 +278,7 @@
 	bool settled;
 	uint32_t i;
 
+	load->settling = true;
 	while (load->in_flight && clock_monotonic_us() < until_us)
 		loop_turn(&load->loop, US_PER_MS);
 	settled = load->in_flight == 0;
@@ -275,6 +290,7 @@
 
 void load_finish(struct load *load)
 {
+	load_kept_finish(load);
 	http_client_finish(&load->client);
 	watch_stop(&load->alarm);
 	close(load->alarm_fd);
@@ -346,12 +362,14 @@
 	free(latencies);
 }
 
-static uint32_t runs_of(json_t *const stats[], uint32_t stats_count,
-			const char *id)
+uint32_t load_runs(const struct load *load, uint32_t record,
+		   json_t *const stats[], uint32_t stats_count)
 {
+	char id[LOAD_ID_SIZE];
 	uint32_t runs = 0;
 	uint32_t i;
 
+	load_id(load, record, id);
 	for (i = 0; i < stats_count; i++)
 		runs += (uint32_t)json_integer_value(
 			json_object_get(json_object_get(stats[i], "runs"), id));
@@ -366,9 +384,7 @@
 	memset(audit, 0, sizeof(*audit));
 	for (i = 0; i < load->count; i++) {
 		const struct load_record *record = &load->records[i];
-		char id[LOAD_ID_SIZE];
-		uint32_t runs =
-			runs_of(stats, stats_count, load_id(load, i, id));
+		uint32_t runs = load_runs(load, i, stats, stats_count);
 
 		if (load->options.kinds[record->kind].once && runs > 1)
 			audit->doubled++;
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -30,6 +30,7 @@
 	LOAD_KINDS_MAX = 16,
 	LOAD_TENANTS_MAX = 64,
 	LOAD_ID_SIZE = 32,
+	LOAD_REASON_SIZE = 24,
 };
 
 /**
@@ -39,6 +40,8 @@
  * @once: may not be repeated; sent on a fresh connection, because the HTTP
  *	library might otherwise send it twice by itself
  * @deadline_ms: told to the system; 0 for none
+ * @kept: sent by the callers on kept connections alone; @share is 0, and it
+ *	stands before the kinds that have one
  */
 struct load_kind {
 	const char *name;
@@ -49,6 +52,7 @@
 	double weight;
 	size_t body_bytes;
 	bool once;
+	bool kept;
 	int64_t deadline_ms;
 };
 
@@ -65,6 +69,10 @@
  * @in_flight_max: past that, requests are recorded as not sent
  * @timeout_ms: after that the caller hangs up
  * @prefix: of all ids of this run
+ * @kept_per_target: callers of each target that send one request after
+ *	another on a connection, until the target closes it
+ * @kept_gap_ms: their mean pause between an answer and the next request
+ * @kept_timeout_ms: after that such a caller hangs up
  */
 struct load_options {
 	const char *targets[LOAD_TARGETS_MAX];
@@ -79,6 +87,9 @@
 	int64_t timeout_ms;
 	uint64_t seed;
 	const char *prefix;
+	uint32_t kept_per_target;
+	int64_t kept_gap_ms;
+	int64_t kept_timeout_ms;
 };
 
 /** enum load_end - how one request ended, as its caller sees it. */
@@ -97,6 +108,10 @@
  * struct load_record - one request
  * @due_us: by the schedule; @sent_us is when it left
  * @crossed: the answer was that of another request
+ * @timed_out: its caller hung up
+ * @read: cut on a kept connection, though the target's process had read it or
+ *	begun to answer; the other cut ones may never have been read
+ * @reason: that the system gave, empty without
  */
 struct load_record {
 	uint32_t kind;
@@ -105,11 +120,16 @@
 	enum load_end end;
 	unsigned int status;
 	bool crossed;
+	bool timed_out;
+	bool read;
+	char reason[LOAD_REASON_SIZE];
 	int64_t due_us;
 	int64_t sent_us;
 	int64_t latency_us;
 };
 
+struct load_kept;
+
 struct load {
 	struct load_options options;
 	struct loop loop;
@@ -126,6 +146,10 @@
 	double kind_shares;
 	double tenant_shares;
 	char *body;
+	bool settling; /* kept callers begin nothing more */
+	struct load_kept *kept;
+	uint32_t kept_count;
+	struct random kept_random;
 };
 
 /** load_begin() - ready to send; the schedule starts now. */
@@ -185,6 +209,10 @@
 	uint32_t lost;
 };
 
+/** load_runs() - how often the upstreams ran a record. */
+uint32_t load_runs(const struct load *load, uint32_t record,
+		   json_t *const stats[], uint32_t stats_count);
+
 /**
  * load_check() - compare the records with what ran
  * @stats: of each upstream, as GET /standin/stats?list=1 yields them
