soak: planned changes come in series and over each other

Cause: one node was told to stop at a time drawn for it; signals in turn, to many nodes at once, to nodes that stop already, reloads in series and versions in quick succession were not tried.

--- a/soak/checks.c
+++ b/soak/checks.c
@@ -109,10 +109,19 @@
 static void print_counts(const struct soak *soak)
 {
 	static const char *const names[FAULTS] = {
-		[FAULT_PAUSE] = "pauses",      [FAULT_KILL] = "kills",
-		[FAULT_SILENCE] = "silences",  [FAULT_CUT] = "cuts",
-		[FAULT_PLATFORM] = "platform", [FAULT_UPSTREAM] = "upstreams",
-		[FAULT_STOP] = "stops",	       [FAULT_ACCEPT] = "versions",
+		[FAULT_PAUSE] = "pauses",
+		[FAULT_KILL] = "kills",
+		[FAULT_SILENCE] = "silences",
+		[FAULT_CUT] = "cuts",
+		[FAULT_PLATFORM] = "platform",
+		[FAULT_UPSTREAM] = "upstreams",
+		[FAULT_STOP] = "stops",
+		[FAULT_ACCEPT] = "versions",
+		[FAULT_STOP_MANY] = "stops of many",
+		[FAULT_STOP_AGAIN] = "stops again",
+		[FAULT_ROLL] = "rolling stops",
+		[FAULT_RELOADS] = "series of reloads",
+		[FAULT_ACCEPT_MANY] = "series of versions",
 	};
 	const struct load_filter all = { -1, -1 };
 	struct load_summary summary;
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -8,6 +8,10 @@
 enum {
 	FAULT_LEAST_STEPS = 2,
 	FAULT_MORE_STEPS = 25,
+	/* A stop takes about half of the longest gap to well over it. */
+	ROLL_GAP_STEPS = 25,
+	RELOADS_MOST = 8,
+	ACCEPTS_MOST = 5,
 	READY_LOOK_MS = 1,
 	LINE_SIZE = 4096,
 };
@@ -108,10 +112,83 @@
 	soak->alone_until[centre] = draw_end(soak);
 }
 
+static void stop_many(struct soak *soak, uint32_t first, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		uint32_t node = (first + i) % soak->count;
+
+		if (soak->nodes[node].state == NODE_RUNNING)
+			stop_node(soak, node);
+	}
+}
+
+static void stop_again(struct soak *soak, uint32_t i)
+{
+	uint32_t other;
+
+	stop_node(soak, i);
+	for (other = 0; other < soak->count; other++)
+		if (soak->nodes[other].state == NODE_STOPPING)
+			process_signal(&soak->cluster.nodes[other].process,
+				       SIGTERM);
+}
+
+static void begin_series(struct soak *soak, enum fault fault, uint32_t first,
+			 uint32_t most, uint32_t gap_steps)
+{
+	struct series *series = &soak->series[fault];
+
+	if (series->left)
+		return;
+	series->left = 2 + random_below(&soak->random, most - 1);
+	series->node = first;
+	series->gap_steps = gap_steps;
+	series->at = soak->step;
+}
+
+/* Before a process is ready such a signal would end it. */
+static void reload(struct soak *soak, uint32_t i)
+{
+	enum node_state state = soak->nodes[i].state;
+
+	if (state == NODE_RUNNING || state == NODE_STOPPING)
+		process_signal(&soak->cluster.nodes[i].process, SIGHUP);
+}
+
+static void do_next(struct soak *soak, enum fault fault, uint32_t i)
+{
+	bool runs = soak->nodes[i].state == NODE_RUNNING;
+
+	if (fault == FAULT_RELOADS)
+		reload(soak, i);
+	else if (fault == FAULT_ROLL && runs)
+		stop_node(soak, i);
+	else if (fault == FAULT_ACCEPT_MANY && runs && answers_operators(soak))
+		accept_version(soak, i);
+}
+
+void soak_go_on(struct soak *soak)
+{
+	uint32_t i;
+
+	for (i = 0; i < FAULTS; i++) {
+		struct series *series = &soak->series[i];
+
+		if (!series->left || soak->step < series->at)
+			continue;
+		do_next(soak, (enum fault)i, series->node);
+		series->left--;
+		series->node = (series->node + 1) % soak->count;
+		series->at = soak->step + series->gap_steps;
+	}
+}
+
 static bool asks_operators(enum fault fault)
 {
 	return fault == FAULT_SILENCE || fault == FAULT_CUT ||
-	       fault == FAULT_ACCEPT;
+	       fault == FAULT_ACCEPT || fault == FAULT_ACCEPT_MANY;
 }
 
 static bool is_possible(const struct soak *soak, enum fault fault, uint32_t i)
@@ -127,17 +204,10 @@
 	       (!asks_operators(fault) || answers_operators(soak));
 }
 
-void soak_bring_about(struct soak *soak)
+static void bring_unplanned(struct soak *soak, enum fault fault, uint32_t i)
 {
-	uint32_t first = soak->planned ? FAULTS_PLANNED : 0;
-	enum fault fault = (enum fault)(
-		first + random_below(&soak->random, FAULTS - first));
-	uint32_t i = random_below(&soak->random, soak->count);
 	uint32_t centre = random_below(&soak->random, SOAK_CENTRES);
 
-	if (!is_possible(soak, fault, i))
-		return;
-	soak->brought[fault]++;
 	switch (fault) {
 	case FAULT_PAUSE:
 		pause_node(soak, i);
@@ -154,20 +224,58 @@
 	case FAULT_PLATFORM:
 		cut_platform(soak, centre);
 		return;
-	case FAULT_UPSTREAM:
+	default:
 		break_upstream(soak, i);
 		return;
+	}
+}
+
+static void bring_planned(struct soak *soak, enum fault fault, uint32_t i)
+{
+	uint32_t count = soak->count;
+	uint32_t drawn = random_below(&soak->random, ROLL_GAP_STEPS);
+
+	switch (fault) {
 	case FAULT_STOP:
 		stop_node(soak, i);
 		return;
 	case FAULT_ACCEPT:
 		accept_version(soak, i);
 		return;
-	case FAULTS:
+	case FAULT_STOP_MANY:
+		stop_many(soak, i, 2 + drawn % (count - 1));
+		return;
+	case FAULT_STOP_AGAIN:
+		stop_again(soak, i);
+		return;
+	case FAULT_ROLL:
+		begin_series(soak, fault, i, count, drawn);
+		return;
+	case FAULT_RELOADS:
+		begin_series(soak, fault, i, RELOADS_MOST, drawn % 2);
+		return;
+	default:
+		begin_series(soak, fault, i, ACCEPTS_MOST, drawn % 2);
 		return;
 	}
 }
 
+void soak_bring_about(struct soak *soak)
+{
+	uint32_t first = soak->planned ? FAULTS_PLANNED : 0;
+	enum fault fault = (enum fault)(
+		first + random_below(&soak->random, FAULTS - first));
+	uint32_t i = random_below(&soak->random, soak->count);
+
+	if (!is_possible(soak, fault, i))
+		return;
+	soak->brought[fault]++;
+	if (fault < FAULTS_PLANNED)
+		bring_unplanned(soak, fault, i);
+	else
+		bring_planned(soak, fault, i);
+}
+
 /* The files go with the cluster. */
 static void print_last_line(const struct process *process)
 {
@@ -284,6 +392,7 @@
 	bool good = true;
 	uint32_t i;
 
+	memset(soak->series, 0, sizeof(soak->series));
 	while (good && !all_running(soak)) {
 		soak->step++;
 		load_run(&soak->load, SOAK_STEP_MS);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -95,6 +95,7 @@
 		load_run(&soak->load, SOAK_STEP_MS);
 		if (!random_below(&soak->random, FAULT_EVERY))
 			soak_bring_about(soak);
+		soak_go_on(soak);
 		good = soak_end_faults(soak);
 	}
 	return good && soak_end_all_faults(soak);
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -50,6 +50,11 @@
 	/* Planned changes. */
 	FAULT_STOP, /* told to, by a signal */
 	FAULT_ACCEPT,
+	FAULT_STOP_MANY,   /* at once */
+	FAULT_STOP_AGAIN,  /* those that stop already, and one more */
+	FAULT_ROLL,	   /* stops in turn, which may overlap */
+	FAULT_RELOADS,	   /* signals in series, also to nodes that stop */
+	FAULT_ACCEPT_MANY, /* by one node after the other */
 	FAULTS,
 	FAULTS_PLANNED = FAULT_STOP,
 };
@@ -74,6 +79,20 @@
 	int64_t hung_us;
 };
 
+/**
+ * struct series - a planned change that goes from node to node
+ * @left: how many more; 0 if none is going on
+ * @node: the next
+ * @gap_steps: between two
+ * @at: step of the next
+ */
+struct series {
+	uint32_t left;
+	uint32_t node;
+	uint32_t gap_steps;
+	uint32_t at;
+};
+
 /**
  * struct soak - one seed
  * @patient: nodes take no connection for silent, so that no slowness of the
@@ -97,12 +116,16 @@
 	bool alone[SOAK_CENTRES]; /* without the platform */
 	uint32_t alone_until[SOAK_CENTRES];
 	uint64_t version;
+	struct series series[FAULTS];
 	uint32_t brought[FAULTS];
 };
 
 /** soak_bring_about() - draw a fault and bring it about, if it can be now. */
 void soak_bring_about(struct soak *soak);
 
+/** soak_go_on() - the next of each series that is due. */
+void soak_go_on(struct soak *soak);
+
 /**
  * soak_end_faults() - end those whose time is over
  *
