soak: number of nodes by choice, and a file of seeds that failed

Cause: runs had 6 nodes, and a seed that once failed was played no more.

The wait status of a node that ends badly is printed.

By reading: on_signal() calls loop_wake() on the loop that node_run() has finished and freed by then, so a signal in the last moments of a stop crashes the process.

--- a/Makefile
+++ b/Makefile
@@ -48,12 +48,15 @@
 demo: all
 	$(BUILD)/demo $(BUILD)
 
-# SEED and SEEDS: which schedules of faults; STEPS of 50 ms in each.
+# SEED and SEEDS: which schedules of faults; STEPS of 50 ms in each part, NODES
+# 4 to 48, each with an upstream. Those of the file FAILED are played first.
 SEED ?= 1
 SEEDS ?= 2
 STEPS ?= 100
+NODES ?= 6
+FAILED ?= soak/seeds.txt
 soak: all
-	$(BUILD)/soak $(BUILD) $(SEED) $(SEEDS) $(STEPS)
+	$(BUILD)/soak $(BUILD) $(SEED) $(SEEDS) $(STEPS) $(NODES) $(FAILED)
 
 # What a policy is worth in replayed load, with it on and off; FORM=json.
 POLICY ?= seek_room
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -321,6 +321,12 @@
 	if (!process_wait(process, 0))
 		return bench_must(clock_monotonic_us() < soak->nodes[i].hung_us,
 				  "a node that is told to stop ends");
+	if (process->exit_status) {
+		fprintf(stderr, "%s: wait status 0x%x\n",
+			soak->cluster.nodes[i].instance,
+			(unsigned int)process->exit_status);
+		print_last_line(process);
+	}
 	return bench_must(process->exit_status == 0,
 			  "a node that is told to stop ends well") &&
 	       start_again(soak, i);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -6,7 +6,13 @@
 
 #include "os/clock.h"
 
-/* usage: soak BUILD [FIRST_SEED [SEEDS [STEPS]]] */
+/*
+ * usage: soak BUILD [FIRST_SEED [SEEDS [STEPS [NODES [FILE]]]]]
+ *
+ * FILE has seeds that are played first: "SEED STEPS NODES" in a line, "#"
+ * begins a comment. A seed draws the same faults again; whether each can be
+ * brought about hangs on how far the nodes are.
+ */
 
 enum {
 	NODES = 6,
@@ -20,6 +26,7 @@
 	KEPT_GAP_PER_NODE_MS = 5,
 	IN_FLIGHT_MAX = 4000,
 	SETTINGS_SIZE = 256,
+	LINE_SIZE = 256,
 };
 
 static bool begin_load(struct soak *soak, uint64_t seed)
@@ -135,13 +142,13 @@
 		soak->patient ? "silence_ms = 60000\n" : "");
 }
 
-static void run_seed(uint64_t seed, uint32_t steps)
+static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes)
 {
 	static struct soak soak;
 	char settings[SETTINGS_SIZE];
 	const struct cluster_options options = {
 		.centres = SOAK_CENTRES,
-		.nodes = NODES,
+		.nodes = nodes,
 		.services = { "seal-desk" },
 		.profile = "default",
 		.settings = settings,
@@ -149,10 +156,11 @@
 				   "exponential" },
 	};
 
-	printf("seed %llu\n", (unsigned long long)seed);
+	printf("seed %llu, %u steps, %u nodes\n", (unsigned long long)seed,
+	       steps, nodes);
 	fflush(stdout);
 	memset(&soak, 0, sizeof(soak));
-	soak.count = NODES;
+	soak.count = nodes;
 	random_init(&soak.random, seed);
 	write_settings(&soak, seed, settings);
 	if (bench_must(cluster_start(&soak.cluster, &options), "start") &&
@@ -166,15 +174,50 @@
 	return argc > place ? strtoull(argv[place], NULL, 10) : fallback;
 }
 
+static bool fits(uint32_t nodes)
+{
+	return bench_must(nodes >= SOAK_NODES_LEAST && nodes <= SOAK_NODES_MOST,
+			  "4 to 48 nodes");
+}
+
+static void run_line(const char *line)
+{
+	unsigned long long seed;
+	uint32_t steps;
+	uint32_t nodes;
+
+	if (line[0] == '#')
+		return;
+	if (bench_must(sscanf(line, "%llu %u %u", &seed, &steps, &nodes) == 3,
+		       "a line of the file has SEED STEPS NODES") &&
+	    fits(nodes))
+		run_seed(seed, steps, nodes);
+}
+
+static void run_file(const char *path)
+{
+	FILE *file = fopen(path, "re");
+	char line[LINE_SIZE];
+
+	if (!bench_must(file != NULL, "the file of seeds is there"))
+		return;
+	while (fgets(line, sizeof(line), file))
+		run_line(line);
+	fclose(file);
+}
+
 int main(int argc, char **argv)
 {
 	uint64_t seed = argument(argc, argv, 2, 1);
 	uint64_t seeds = argument(argc, argv, 3, 2);
 	uint32_t steps = (uint32_t)argument(argc, argv, 4, STEPS);
+	uint32_t nodes = (uint32_t)argument(argc, argv, 5, NODES);
 	uint64_t i;
 
 	bench_build(argc, argv);
-	for (i = 0; i < seeds; i++)
-		run_seed(seed + i, steps);
+	if (argc > 6)
+		run_file(argv[6]);
+	for (i = 0; fits(nodes) && i < seeds; i++)
+		run_seed(seed + i, steps, nodes);
 	return bench_status();
 }
