soak: lost peers that are let pass are counted

Cause: where nodes take a quiet connection for a lost one, work given up for "peer-lost" does not fail the soak, and nothing told how often that came.

--- a/soak/checks.c
+++ b/soak/checks.c
@@ -17,11 +17,13 @@
  * @cut: read by a node that then closed without an answer, or left without
  *	one until that can only be a hang
  * @given_up: run by an upstream and given up before their deadline
+ * @peers_lost: of those that were, what nodes that are not patient may do
  */
 struct planned {
 	uint32_t looked_at;
 	uint32_t cut;
 	uint32_t given_up;
+	uint32_t peers_lost;
 };
 
 /*
@@ -39,8 +41,6 @@
 /*
  * The caller's clock starts before the node's: an answer that it gets before
  * its deadline left the node before that, too, and slowness only moves it back.
- * Only a node that takes a quiet connection for a lost one could give up for
- * slowness; that counts where nodes are patient.
  */
 static bool is_given_up(const struct soak *soak,
 			const struct load_record *record, uint32_t runs)
@@ -49,11 +49,17 @@
 
 	if (record->end != LOAD_MAY_HAVE_RUN && record->end != LOAD_RAN)
 		return false;
-	if (!soak->patient && !strcmp(record->reason, "peer-lost"))
-		return false;
 	return runs && record->latency_us < kind->deadline_ms * US_PER_MS;
 }
 
+/* A node that takes a quiet connection for a lost one may give up for mere
+ * slowness; that counts where nodes are patient. */
+static bool is_peer_lost(const struct soak *soak,
+			 const struct load_record *record)
+{
+	return !soak->patient && !strcmp(record->reason, "peer-lost");
+}
+
 static void print_record(const struct soak *soak, uint32_t index,
 			 const char *what)
 {
@@ -80,6 +86,10 @@
 	bool given_up = is_given_up(soak, record, runs);
 
 	planned->looked_at++;
+	if (given_up && is_peer_lost(soak, record)) {
+		planned->peers_lost++;
+		return;
+	}
 	planned->cut += cut;
 	planned->given_up += given_up;
 	if ((cut || given_up) &&
@@ -102,8 +112,9 @@
 	bench_must(!planned.given_up,
 		   "no work is given up before its deadline");
 	printf("  under planned changes alone: %u requests, %u cut, %u given "
-	       "up\n",
-	       planned.looked_at, planned.cut, planned.given_up);
+	       "up, %u with a peer lost\n",
+	       planned.looked_at, planned.cut, planned.given_up,
+	       planned.peers_lost);
 }
 
 static void print_counts(const struct soak *soak)
