--- a/soak/soak.c
+++ b/soak/soak.c
@@ -142,6 +142,19 @@
 		soak->patient ? "silence_ms = 60000\n" : "");
 }
 
+/* Of the first seed that fails the nodes' logs stay, to be traced by. */
+static void stop_cluster(struct cluster *cluster, bool keep)
+{
+	if (!keep) {
+		cluster_stop(cluster);
+		return;
+	}
+	fprintf(stderr, "its logs are in %s\n", cluster->dir);
+	setenv("GERANIUMPLANK_KEEP", "1", 1);
+	cluster_stop(cluster);
+	unsetenv("GERANIUMPLANK_KEEP");
+}
+
 static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes)
 {
 	static struct soak soak;
@@ -155,6 +168,7 @@
 		.upstream_args = { "--service-us", "10000", "--spread",
 				   "exponential" },
 	};
+	bool failed_before = bench_status() != 0;
 
 	printf("seed %llu, %u steps, %u nodes\n", (unsigned long long)seed,
 	       steps, nodes);
@@ -166,7 +180,7 @@
 	if (bench_must(cluster_start(&soak.cluster, &options), "start") &&
 	    bench_must(bench_begin(&soak.cluster, soak.count), "all in force"))
 		run(&soak, seed, steps);
-	cluster_stop(&soak.cluster);
+	stop_cluster(&soak.cluster, !failed_before && bench_status());
 }
 
 static uint64_t argument(int argc, char **argv, int place, uint64_t fallback)
