--- a/soak/checks.c
+++ b/soak/checks.c
@@ -186,7 +186,7 @@
 
 static bool agree_in_time(struct soak *soak)
 {
-	int64_t until_us = clock_monotonic_us() + SOAK_HANG_MS * US_PER_MS;
+	int64_t until_us = clock_monotonic_us() + SOAK_AGREE_MS * US_PER_MS;
 
 	while (!agree(soak)) {
 		if (clock_monotonic_us() > until_us)
@@ -202,15 +202,15 @@
 	uint32_t i;
 
 	bench_must(cluster_wait_members(&soak->cluster, soak->count,
-					SOAK_HANG_MS),
+					SOAK_AGREE_MS),
 		   "all know each other again");
 	bench_must(agree_in_time(soak),
 		   "all have the same version, the last that was accepted");
-	bench_must(cluster_wait_routes(&soak->cluster, SOAK_HANG_MS),
+	bench_must(cluster_wait_routes(&soak->cluster, SOAK_AGREE_MS),
 		   "all route again");
 	for (i = 0; i < soak->count; i++) {
 		struct fetch fetch = { .method = "GET",
-				       .timeout_ms = SOAK_HANG_MS };
+				       .timeout_ms = SOAK_AGREE_MS };
 
 		cluster_call(&soak->cluster, i, "seal-desk", &fetch, "/read");
 		bench_must(fetch.status == STATUS_OK, "a node serves again");
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -24,7 +24,7 @@
 
 static int64_t hung_at(int64_t granted_ms)
 {
-	return clock_monotonic_us() + (granted_ms + SOAK_HANG_MS) * US_PER_MS;
+	return clock_monotonic_us() + (granted_ms + SOAK_LATE_MS) * US_PER_MS;
 }
 
 /* A paused node answers no operator, and the callers would stand still. */
@@ -294,7 +294,7 @@
 static bool start_again(struct soak *soak, uint32_t i)
 {
 	soak->nodes[i].state = NODE_STARTING;
-	soak->nodes[i].hung_us = hung_at(0);
+	soak->nodes[i].hung_us = hung_at(SOAK_AGREE_MS);
 	return bench_must(cluster_spawn_node(&soak->cluster, i),
 			  "a node's process is made");
 }
