call: a lost try is asked about again when no other is left

Cause: of a request that may be repeated the node is asked once, and left for a try elsewhere if it does not answer; if nothing elsewhere takes the request, the caller was told 'may have run' at once. Mend: the lost try is gone back to, and asked about twice more, if there is time left. Tests: the core's table; link/a_lost_try... ends 502 no-upstream without the mend, 200 with it.

--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -6,6 +6,9 @@
 enum {
 	ASKS_MAX = 4,
 	ASKS_MAX_ELSEWHERE = 1,
+	/* A node that stood still answers by then. For one that is dead the
+	 * caller would only wait longer for its "may have run". */
+	ASKS_MAX_RESUMED = 2,
 	ASK_DELAY_US = 20 * 1000,
 	/* With less left a further try cannot bring an answer: the way there
 	 * and back and the work take more. It would only turn the proof that a
@@ -39,6 +42,7 @@
 	attempt->left = false;
 	attempt->incarnation = 0;
 	attempt->asks = 0;
+	attempt->resumed = false;
 	attempt->tries++;
 	attempt->taken = retry_chain_take(&attempt->chain);
 	return attempt->taken;
@@ -108,6 +112,29 @@
 			    &request) == RETRY_AGAIN;
 }
 
+/*
+ * No try is left. A node that could not be asked about an earlier one may only
+ * have stood still, and its upstream be at work: while there is time the caller
+ * is better served by that answer than by "may have run".
+ */
+static struct attempt_action give_up_or_resume(struct attempt *attempt,
+					       enum call_reason reason,
+					       int64_t now_us)
+{
+	const struct attempt_action resume = { .type = ATTEMPT_RESUME,
+					       .reason = reason };
+
+	if (!attempt->lost || attempt->deadline_us - now_us <= TRY_LEAST_US)
+		return end(attempt, ATTEMPT_FAIL, attempt->earlier, reason);
+	attempt->lost = false;
+	attempt->resumed = true;
+	attempt->state = ATTEMPT_ASKING;
+	attempt->left = true;
+	attempt->incarnation = attempt->lost_incarnation;
+	attempt->asks = 1;
+	return resume;
+}
+
 /* The present try has ended without an answer. */
 static struct attempt_action try_ended(struct attempt *attempt,
 				       enum verdict verdict,
@@ -126,7 +153,7 @@
 	attempt->taken = 0;
 	if (may_try_again(attempt, is_free(verdict, reason), now_us))
 		return again;
-	return end(attempt, ATTEMPT_FAIL, attempt->earlier, reason);
+	return give_up_or_resume(attempt, reason, now_us);
 }
 
 /*
@@ -202,6 +229,8 @@
  * it is the only one to know. */
 static uint32_t asks_max(const struct attempt *attempt)
 {
+	if (attempt->resumed)
+		return ASKS_MAX_RESUMED;
 	if (attempt->repeatable && attempt->chain.left &&
 	    attempt->budget->tokens >= 1)
 		return ASKS_MAX_ELSEWHERE;
@@ -224,6 +253,10 @@
 	case ATTEMPT_ASKING:
 		if (attempt->asks < most)
 			return reconnect(attempt);
+		if (most == ASKS_MAX_ELSEWHERE) {
+			attempt->lost = true;
+			attempt->lost_incarnation = attempt->incarnation;
+		}
 		return try_ended(attempt, VERDICT_MAY_HAVE_RUN, CALL_PEER_LOST,
 				 now_us);
 	case ATTEMPT_IDLE:
@@ -282,8 +315,7 @@
 		return nothing;
 	switch (event->type) {
 	case ATTEMPT_EVENT_NO_ENDPOINT:
-		return end(attempt, ATTEMPT_FAIL, attempt->earlier,
-			   event->reason);
+		return give_up_or_resume(attempt, event->reason, now_us);
 	case ATTEMPT_EVENT_OPENED:
 		return opened(attempt, event->incarnation, now_us);
 	case ATTEMPT_EVENT_UNSENT:
--- a/src/call/attempt.h
+++ b/src/call/attempt.h
@@ -64,6 +64,7 @@
 	ATTEMPT_ASK,	   /* ask about it on the connection now open */
 	ATTEMPT_RECONNECT, /* open another connection to the same node */
 	ATTEMPT_TRY,	   /* choose an endpoint and begin the next try */
+	ATTEMPT_RESUME,	   /* open a connection to the node of the lost try */
 	ATTEMPT_REPLY,	   /* hand the whole answer to the caller */
 	ATTEMPT_FAIL,	   /* tell the caller verdict and reason */
 };
@@ -95,6 +96,9 @@
  * @left: whether a byte of the present try may have left
  * @incarnation: of the node that the present try was sent to
  * @asks: connections opened to ask about the present try
+ * @lost: a try that may still run was left because its node could not be asked
+ * @lost_incarnation: of that node
+ * @resumed: the present try is that one again
  */
 struct attempt {
 	enum attempt_state state;
@@ -111,6 +115,9 @@
 	bool left;
 	uint64_t incarnation;
 	uint32_t asks;
+	bool lost;
+	uint64_t lost_incarnation;
+	bool resumed;
 };
 
 /**
--- a/src/call/attempt_test.c
+++ b/src/call/attempt_test.c
@@ -372,3 +372,66 @@
 	cr_expect_eq(call_reason_status(CALL_GATE_SHARE, VERDICT_RAN), 502);
 	cr_expect_eq(call_reason_status(CALL_GATE_SHARE, VERDICT_NOT_RUN), 429);
 }
+
+/*
+ * A caller was told 502 with hundreds of milliseconds left while an upstream
+ * was at work on its request: the node beside it had stood still and could not
+ * be asked, and all that was tried elsewhere was refused. In the log "tried"
+ * ends with "peer-lost" and "late", or the call with "no-upstream".
+ */
+Test(attempt, a_lost_try_is_asked_about_again_when_no_other_is_left)
+{
+	static const struct {
+		const char *name;
+		struct attempt_event last; /* of the try elsewhere */
+		int64_t at_us;
+		enum attempt_action_type action;
+		enum attempt_action_type asked;
+	} rows[] = {
+		{ "none elsewhere", EVENT(NO_ENDPOINT), 0, ATTEMPT_RESUME,
+		  ATTEMPT_ASK },
+		{ "its process was started anew", EVENT(NO_ENDPOINT), 0,
+		  ATTEMPT_RESUME, ATTEMPT_FAIL },
+		{ "hardly any time left", EVENT(NO_ENDPOINT),
+		  DEADLINE_US - 5000, ATTEMPT_FAIL, ATTEMPT_NOTHING },
+	};
+	const struct attempt_event opened = OPENED;
+	const struct attempt_event anew = OPENED_ANEW;
+	const struct attempt_event closed = EVENT(CLOSED);
+	const struct attempt_event none = EVENT(NO_ENDPOINT);
+	const struct attempt_event running = TOLD(CALL_STANDING_RUNNING);
+	const struct attempt_event answered = EVENT(ANSWERED);
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		struct retry_budget budget;
+		struct attempt attempt;
+		struct attempt_action action;
+
+		begin(&attempt, &budget, true, false);
+		attempt_step(&attempt, &opened, 0);
+		action = attempt_step(&attempt, &closed, 0);
+		cr_assert_eq(action.type, ATTEMPT_RECONNECT);
+		action = attempt_step(&attempt, &closed, 0);
+		cr_assert_eq(action.type, ATTEMPT_TRY);
+		action = attempt_step(&attempt, &rows[i].last, rows[i].at_us);
+		cr_expect_eq(action.type, rows[i].action, "%s", rows[i].name);
+		if (action.type != ATTEMPT_RESUME)
+			continue;
+		action = attempt_step(
+			&attempt,
+			rows[i].asked == ATTEMPT_ASK ? &opened : &anew, 0);
+		if (rows[i].asked == ATTEMPT_FAIL) {
+			/* Nobody knows; the budget allows one more try. */
+			cr_expect_eq(action.type, ATTEMPT_TRY);
+			action = attempt_step(&attempt, &none, 0);
+			cr_expect_eq(action.type, ATTEMPT_FAIL);
+			cr_expect_eq(action.verdict, VERDICT_MAY_HAVE_RUN);
+			continue;
+		}
+		cr_expect_eq(action.type, ATTEMPT_ASK, "%s", rows[i].name);
+		attempt_step(&attempt, &running, 0);
+		action = attempt_step(&attempt, &answered, 0);
+		cr_expect_eq(action.type, ATTEMPT_REPLY, "%s", rows[i].name);
+	}
+}
--- a/src/call/calling.c
+++ b/src/call/calling.c
@@ -26,6 +26,8 @@
 COUNTER(late, "call.late_frames",
 	"Frames for calls that had ended, or that came twice");
 COUNTER(retries, "call.retries", "Tries after the first one");
+COUNTER(resumed, "call.resumed",
+	"Tries asked about once more when no other was left");
 COUNTER(reconnects, "call.reconnects",
 	"Connections opened to ask what became of a call");
 HISTOGRAM(total_time, "call.total_us",
@@ -108,6 +110,20 @@
 	call_step(call, &event);
 }
 
+/* A try of this identity: frames that come for it find the call. */
+static void begin_as(struct call *call, uint64_t sequence)
+{
+	struct caller *caller = call->caller;
+
+	unlist(call);
+	call->sequence = sequence;
+	call->chain = NULL;
+	*place(caller, sequence) = call;
+	call->began_us = now(caller);
+	caller->held_bytes -= call->answer.body_size;
+	assembly_finish(&call->answer);
+}
+
 void call_begin_try(struct call *call)
 {
 	struct caller *caller = call->caller;
@@ -121,13 +137,7 @@
 						      : CALL_NO_UPSTREAM);
 		return;
 	}
-	unlist(call);
-	call->sequence = ++caller->sequence;
-	call->chain = NULL;
-	*place(caller, call->sequence) = call;
-	call->began_us = now(caller);
-	caller->held_bytes -= call->answer.body_size;
-	assembly_finish(&call->answer);
+	begin_as(call, ++caller->sequence);
 	attempt_begin(&call->attempt);
 	if (call->attempt.tries > 1)
 		counter_add(&retries, 1);
@@ -339,11 +349,25 @@
 	       sizeof(call->failed_upstream));
 }
 
+/* Whether the present try is the one that may still run unasked. */
+static bool is_lost_try(const struct call *call)
+{
+	const struct attempt *attempt = &call->attempt;
+
+	return attempt->lost && call->endpoint &&
+	       attempt->lost_incarnation == attempt->incarnation;
+}
+
 /* The present try gave nothing to hand on; another upstream may do better. */
 static void try_elsewhere(struct call *call, enum call_reason reason)
 {
 	const char *name = call_reason_name(reason);
 
+	if (is_lost_try(call)) {
+		call->lost.sequence = call->sequence;
+		memcpy(call->lost.instance, call->endpoint->record.instance,
+		       sizeof(call->lost.instance));
+	}
 	if (reason == CALL_UPSTREAM_ERROR) {
 		take_report(call);
 		keep_failure(call);
@@ -355,6 +379,25 @@
 	call_begin_try(call);
 }
 
+/* Ask once more about the try that was left while it might still run. */
+static void resume(struct call *call, enum call_reason reason)
+{
+	struct endpoint *endpoint = router_resume(call->caller->options.router,
+						  call->lost.instance);
+
+	call_leave_endpoint(call, ENDPOINT_FAILED, -1,
+			    call_reason_name(reason));
+	call->endpoint = endpoint;
+	if (!endpoint) {
+		call_step_simple(call, ATTEMPT_EVENT_GIVE_UP, reason);
+		return;
+	}
+	counter_add(&resumed, 1);
+	begin_as(call, call->lost.sequence);
+	call->pushed = call->body_size;
+	open_to_ask(call);
+}
+
 void call_step(struct call *call, const struct attempt_event *event)
 {
 	struct attempt_action action =
@@ -377,6 +420,9 @@
 	case ATTEMPT_TRY:
 		try_elsewhere(call, action.reason);
 		break;
+	case ATTEMPT_RESUME:
+		resume(call, action.reason);
+		break;
 	case ATTEMPT_REPLY:
 		reply(call);
 		break;
--- a/src/call/calling.h
+++ b/src/call/calling.h
@@ -41,6 +41,7 @@
  * @failure: the last answer by which an upstream told of a failure of its own;
  *	handed on unless a later try brings a better one
  * @failed_upstream: whose that was
+ * @lost: the try that is left while it may still run, see struct attempt
  * @placement: where its tries go
  * @trace: what they met, for the log
  * @reconnect: runs before the next connection is opened to ask
@@ -65,6 +66,10 @@
 	struct assembly answer;
 	struct assembly failure;
 	char failed_upstream[NAME_SIZE];
+	struct {
+		uint64_t sequence;
+		char instance[NAME_SIZE];
+	} lost;
 	struct call_outcome refusal; /* of the last try */
 	struct trace trace;
 	struct timer deadline;
--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "call/path_test.h"
+#include "os/clock.h"
 #include "os/net.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -318,6 +319,45 @@
 	path_teardown();
 }
 
+/*
+ * Readers were told 502 0.3 to 1.8 s after they had sent requests that may take
+ * 3 s and that upstreams had run, while nodes were stopping: the first try's
+ * node could not be asked for a moment, and no other upstream was left to try.
+ */
+Test(link, a_lost_try_is_asked_about_again_when_no_other_is_left)
+{
+	const struct path_request request = { .method = "GET",
+					      .path = "/view",
+					      .id = "one" };
+	int64_t before;
+	struct path_result *result;
+	int i;
+
+	path_setup();
+	/* The node beside the upstream only stands still. */
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	before = path_counter("call.resumed");
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_until(&path.upstream.ran, 1, "it runs");
+	caller_leaving(&path.a.calls.caller, "b");
+	for (i = 0; i < PATH_TURNS && !result->answers &&
+		    path_counter("call.resumed") == before;
+	     i++) {
+		path_silence(true, true);
+		path_turn(1);
+	}
+	cr_expect_eq(result->answers, 0, "%u %s", result->status,
+		     result->reason);
+	path_silence(false, false);
+	path_release("one");
+	path_until(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	cr_expect_eq(path.upstream.ran, 1);
+	path_teardown();
+}
+
 Test(link, what_outlives_the_drain_time_is_cancelled_with_its_verdict)
 {
 	struct path_result *result;
--- a/src/call/schedule_model_test.c
+++ b/src/call/schedule_model_test.c
@@ -130,8 +130,21 @@
 		attach(call);
 		break;
 	case ATTEMPT_TRY:
+		if (model->attempt.lost &&
+		    model->attempt.incarnation ==
+			    model->attempt.lost_incarnation) {
+			model->lost_sequence = model->sequence;
+			model->lost_server = model->server;
+		}
 		model_begin(call);
 		break;
+	case ATTEMPT_RESUME:
+		model->sequence = model->lost_sequence;
+		model->server = model->lost_server;
+		note("call %u resumes %llu at server %u\n", call,
+		     (unsigned long long)model->sequence, model->server);
+		attach(call);
+		break;
 	case ATTEMPT_REPLY:
 	case ATTEMPT_FAIL:
 		tell(call, &action);
--- a/src/call/schedule_test.h
+++ b/src/call/schedule_test.h
@@ -64,6 +64,8 @@
 struct call_model {
 	struct attempt attempt;
 	uint64_t sequence;
+	uint64_t lost_sequence;
+	uint32_t lost_server;
 	uint32_t server;
 	int conn;
 	bool told;
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -496,6 +496,17 @@
 	return endpoint;
 }
 
+struct endpoint *router_resume(struct router *router, const char *instance)
+{
+	struct endpoint *endpoint = router_find(router, instance);
+
+	if (!endpoint)
+		return NULL;
+	endpoint_hold(endpoint);
+	endpoint->in_flight++;
+	return endpoint;
+}
+
 void router_report(const struct router *router, struct endpoint *endpoint,
 		   const struct endpoint_report *report)
 {
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -297,6 +297,13 @@
  */
 struct endpoint *router_pick(struct router *router, const struct pick *pick);
 
+/**
+ * router_resume() - a call goes on at an endpoint that it had left
+ *
+ * Return: as router_pick(); NULL if the instance is not known any more.
+ */
+struct endpoint *router_resume(struct router *router, const char *instance);
+
 /** router_can_pick() - whether a sound endpoint is there for @pick. */
 bool router_can_pick(const struct pick *pick);
 
--- a/test/replay/callers.c
+++ b/test/replay/callers.c
@@ -99,6 +99,7 @@
 	case ATTEMPT_SEND:
 	case ATTEMPT_ASK:
 	case ATTEMPT_RECONNECT:
+	case ATTEMPT_RESUME:
 		break;
 	}
 }
