call, node: what readers of the change stumbled on; a lost try has one more way back

A request that had no token was asked about four times and then not gone back to (found by reading: ends whose lost try took over 760 ms are probably these). The test of what never left raced with its own deadline (red once, beside 30 busy processes: 'may have run' for 'not run'); it looks at the bounds of the transfer and ends the run by hand now, so that no clock decides. A run of which nothing had left is logged as turned away, not as broken off.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,8 @@
 BENCHES = call converge rejoin storm overload faults drain capacity
 
 # Tests that fail for a known fault are left out, and named at the end.
-KNOWN_RED = $(addsuffix ',$(addprefix ',$(shell scripts/known-red.sh filter)))
+# Quoted for the shell: the filter has parentheses.
+LEAVE_OUT = $(addsuffix ',$(addprefix ',$(shell scripts/known-red.sh filter)))
 
 .PHONY: all deps test unit functional test-asan lint format format-check \
 	demo soak experiment bench install embed clean $(BENCHES:%=bench-%)
@@ -21,20 +22,20 @@
 test: unit functional
 
 unit: all
-	$(BUILD)/unit_tests -j$(JOBS) $(KNOWN_RED)
+	$(BUILD)/unit_tests -j$(JOBS) $(LEAVE_OUT)
 
 functional: all
-	GERANIUMPLANK_BUILD=$(BUILD) $(BUILD)/functional_tests -j4 $(KNOWN_RED)
+	GERANIUMPLANK_BUILD=$(BUILD) $(BUILD)/functional_tests -j4 $(LEAVE_OUT)
 
 test-asan: deps
 	@cmake -S . -B $(SANITIZE_DIR) -G Ninja -DCMAKE_BUILD_TYPE=Debug \
 		-DSANITIZE=ON >/dev/null
 	@cmake --build $(SANITIZE_DIR) -j $(JOBS)
 	LSAN_OPTIONS=suppressions=test/lsan.supp:print_suppressions=0 \
-		$(SANITIZE_DIR)/unit_tests -j$(JOBS) $(KNOWN_RED)
+		$(SANITIZE_DIR)/unit_tests -j$(JOBS) $(LEAVE_OUT)
 	LSAN_OPTIONS=suppressions=test/lsan.supp:print_suppressions=0 \
 		GERANIUMPLANK_BUILD=$(SANITIZE_DIR) \
-		$(SANITIZE_DIR)/functional_tests -j4 $(KNOWN_RED)
+		$(SANITIZE_DIR)/functional_tests -j4 $(LEAVE_OUT)
 
 lint: all
 	@scripts/lint.sh $(BUILD)
--- a/src/call/attempt.c
+++ b/src/call/attempt.c
@@ -12,7 +12,8 @@
 	ASK_DELAY_US = 20 * 1000,
 	/* With less left a further try cannot bring an answer: the way there
 	 * and back and the work take more. It would only turn the proof that a
-	 * request has not run into "may have run". */
+	 * request has not run into "may have run". Not less than the margin
+	 * that the node beside the upstream leaves for such a proof. */
 	TRY_LEAST_US = 5 * 1000,
 };
 
@@ -253,7 +254,7 @@
 	case ATTEMPT_ASKING:
 		if (attempt->asks < most)
 			return reconnect(attempt);
-		if (most == ASKS_MAX_ELSEWHERE) {
+		if (attempt->repeatable && !attempt->resumed) {
 			attempt->lost = true;
 			attempt->lost_incarnation = attempt->incarnation;
 		}
--- a/src/call/deadline_test.c
+++ b/src/call/deadline_test.c
@@ -6,6 +6,7 @@
 
 #include "call/path_test.h"
 #include "call/serving.h"
+#include "http/client_conn.h"
 #include "os/clock.h"
 #include "os/net.h"
 
@@ -22,8 +23,7 @@
  * tried elsewhere with what was left, was refused there as too late, and had to
  * say that the request may have run. Lines that settled it: "served" with the
  * end "deadline", in "tried" the same with left=4 and behind it "late" with
- * left=2; in six days of planned stops under high load all 20 such answers had
- * both.
+ * left=2.
  */
 static const struct {
 	const char *name;
@@ -124,7 +124,7 @@
 /* A listener whose queue of connections is full: a further one hangs. */
 static void full_listener(struct address *address)
 {
-	enum { FILLED = 3 };
+	enum { FILLED = 3 }; /* a queue of 0 takes one */
 	struct sockaddr_in at = { .sin_family = AF_INET };
 	socklen_t size = sizeof(at);
 	int fd = socket(AF_INET, SOCK_STREAM, 0);
@@ -145,17 +145,33 @@
  * A caller could be told "may have run" of a request of which no byte had left:
  * the connection to the upstream was still being made when the caller's time
  * was over, and whatever is ended while it runs counts as begun. So a
- * connection is given up while there is time for the proof to arrive.
+ * connection is given up while there is time for the proof to arrive, and a
+ * request of which nothing has left has not run.
  */
 Test(deadline, what_never_left_is_told_as_not_run)
 {
+	const struct http_header headers[] = { { HEADER_DEADLINE, "4000" },
+					       { HEADER_ATTEMPTS, "1" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .headers = headers,
+					      .header_count = 2 };
+	const struct http_transfer *transfer;
+	struct serving *serving;
 	struct path_result *result;
 	struct address full;
 
 	set_up(false);
 	full_listener(&full);
+	path.b.calls.server.options.connect_timeout_ms = 60 * 1000;
 	calls_set_upstream(&path.b.calls, "seal-desk", "", &full);
-	result = send_within("/short", "200");
+	result = path_send(&request);
+	path_until(&path.b.gate.running_count, 1, "it is let in");
+	serving = path.b.calls.server.servings;
+	transfer = serving->transfer;
+	cr_expect_lt(transfer->connect_by_us, serving->terms.deadline_us);
+	cr_expect_geq(transfer->end_by_us, serving->terms.deadline_us);
+	serving_give_up(serving, CALL_DEADLINE);
 	path_until(&result->answers, 1, "an answer");
 	cr_expect_str_eq(result->verdict, "not-run");
 	cr_expect_eq(ended(false)[GATE_LATE], 0);
--- a/src/call/serving.c
+++ b/src/call/serving.c
@@ -33,7 +33,7 @@
 	ANSWER_MARGIN_US = 1000 * 1000,
 	/* The way of a proof that a request did not run to its caller. */
 	PROOF_MARGIN_US = 5 * US_PER_MS,
-	PROOF_MARGIN_SHARE = 10,
+	PROOF_MARGIN_SHARE = 10, /* at most one part in so many of the wait */
 };
 
 /* Weight of one answer in the share of errors: a third of the answers of the
@@ -181,9 +181,9 @@
 		    sizeof(fields) / sizeof(fields[0]));
 }
 
-/* The line of an attempt that this side ended while the upstream worked on it;
- * what the caller was told must follow from its time being over, or from its
- * having hung up. */
+/* The line of an attempt that this side ended while the upstream worked on it.
+ * "deadline" with much time left, or "cancelled" where nobody hung up and no
+ * drain ended, is a fault of this node. */
 static void log_broken_off(const struct serving *serving,
 			   const struct call_outcome *outcome, int64_t took_us)
 {
@@ -409,6 +409,10 @@
 	} else {
 		gate_cancel(server->options.gate, &serving->gate, now_us);
 	}
+	if (!sent) {
+		log_turned_away(serving, outcome);
+		return;
+	}
 	log_broken_off(serving, outcome, took_us);
 	count_times(serving, end_of(outcome), took_us);
 }
@@ -444,8 +448,8 @@
 {
 	struct serving *serving = data;
 
-	/* Its caller's node has not come back. It may only stand still, and
-	 * asks for a run later: that goes on until the caller's time is over. */
+	/* Its caller's node has not come back. That may merely be paused and
+	 * ask later, so a run goes on until the caller's time is over. */
 	if (serving->state != SERVING_RUNNING)
 		serving_give_up(serving, CALL_PEER_LOST);
 }
--- a/src/call/trace.h
+++ b/src/call/trace.h
@@ -15,8 +15,8 @@
  *
  * "left" is what the caller's time had left when the try ended, "load" is what
  * the upstream told last and how old that was, "in" the own calls there,
- *"fails" its failures in a row; "far" is another data centre, "unreachable"
- *that membership does not hear it.
+ * "fails" its failures in a row; "far" is another data centre, "unreachable"
+ * that membership does not hear it.
  */
 
 enum { TRACE_SIZE = 640 };
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -539,7 +539,8 @@
 		refuse(conn, STATUS_TIMEOUT, "head-timeout");
 		return;
 	}
-	/* Closing would give up those before it, which are worked on. */
+	/* Closing would give up earlier requests of this connection that are
+	 * still worked on. */
 	if (conn->reading && conn->reading != conn->exchanges &&
 	    conn->state == CONN_OPEN) {
 		refuse(conn, STATUS_TIMEOUT, "body-timeout");
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -27,21 +27,22 @@
 }
 
 /* A caller that has neither sent its request nor read its answer by the end of
- * the drain has had its time: another second for it got the process killed. */
+ * the drain has had its time; a further second could outlast whoever kills the
+ * process. */
 static int64_t callers_until_us(const struct leaving *leaving)
 {
 	return earlier(leaving->drained_us + LEAVING_CALLERS_MS * US_PER_MS,
-		       leaving->work_until_us + CALLS_LAST_WORD_MS * US_PER_MS);
+		       leaving->work_until_us + CALLS_READ_MS * US_PER_MS);
 }
 
 int64_t leaving_until_us(const struct leaving *leaving,
 			 const struct leaving_open *open)
 {
 	int64_t until_us =
-		leaving->drained_us + LEAVING_LAST_WORDS_MS * US_PER_MS;
+		leaving->drained_us + LEAVING_DATAGRAMS_MS * US_PER_MS;
 
-	/* The lease is being given back since the signal; a store that is
-	 * silent since then is not waited for once calls have drained. */
+	/* The lease is being given back since the signal. A store that has been
+	 * silent for so long is not waited for. */
 	if (open->store)
 		until_us = later(until_us,
 				 leaving->asked_us +
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -191,7 +191,7 @@
 	gossip_leave(&node->gossip);
 	leaving_drained(&node->stop, loop_now_us(&node->loop));
 	timer_set(&node->loop, &node->last_words,
-		  loop_now_us(&node->loop) + LEAVING_LAST_WORDS_MS * US_PER_MS);
+		  loop_now_us(&node->loop) + LEAVING_DATAGRAMS_MS * US_PER_MS);
 }
 
 static void start_calls(struct node *node)
@@ -342,16 +342,16 @@
 		.store = !node_source_is_idle(node),
 		.callers = node->callers.exchange_count > 0,
 	};
+	int64_t now_us = loop_now_us(&node->loop);
 	int64_t until_us = leaving_until_us(&node->stop, &open);
-	int64_t next_us =
-		loop_now_us(&node->loop) + LEAVING_LAST_WORDS_MS * US_PER_MS;
+	int64_t next_us = now_us + LEAVING_DATAGRAMS_MS * US_PER_MS;
 
-	if (loop_now_us(&node->loop) < until_us) {
+	if (now_us < until_us) {
 		timer_set(&node->loop, timer,
 			  next_us < until_us ? next_us : until_us);
 		return;
 	}
-	/* A stop that takes long, or cuts a caller off, has to say why. */
+	/* A stop that leaves somebody without an answer has to say whom. */
 	if (open.store || open.callers)
 		log_warn(slice, "left_open",
 			 LOG_NUMBER("unanswered", node->callers.exchange_count),
