--- a/soak/soak.c
+++ b/soak/soak.c
@@ -22,7 +22,8 @@
 	FAULT_EVERY = 3,
 	CALLER_TIMEOUT_MS = 4000,
 	KEPT_PER_NODE = 4,
-	/* Between them, all callers on kept connections send 5 in 6 ms. */
+	/* Mean pause of a caller, for each node: all callers together send 0.8
+	 * requests a ms at most, whatever the number of nodes. */
 	KEPT_GAP_PER_NODE_MS = 5,
 	IN_FLIGHT_MAX = 4000,
 	SETTINGS_SIZE = 256,
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -35,13 +35,11 @@
 	SOAK_LINGER_MS = 1000,
 	/* Until a fault that has ended counts as over for callers. */
 	SOAK_GUARD_MS = 3000,
-	/* Of a node that stops or starts, beyond what it is granted. */
+	/* Grace for a node that stops, beyond what it is granted. */
 	SOAK_LATE_MS = 3000,
-	/* Nodes agree a tenth of a second after the last fault, and start in
-	 * that time. */
+	/* For nodes to start, and to agree after the last fault. */
 	SOAK_AGREE_MS = 20000,
-	/* All of this takes seconds at most. A machine that is merely loaded
-	 * stays below; whatever waits for something lost does not. */
+	/* For an answer: whatever takes longer waits for something lost. */
 	SOAK_HANG_MS = 60000,
 };
 
