--- /dev/null
+++ b/src/http/framing_client_test.c
@@ -0,0 +1,244 @@
+#include <apr_general.h>
+#include <criterion/criterion.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "http/client.h"
+#include "os/net.h"
+
+/* What a client makes of the bytes of an answer. */
+
+enum { TURNS = 200, TURN_US = 2000 };
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+static struct loop loop;
+
+static void setup(void)
+{
+	struct error err = ERROR_INIT;
+
+	apr_initialize();
+	cr_assert(loop_init(&loop, &err));
+}
+
+static void teardown(void)
+{
+	loop_finish(&loop);
+}
+
+static void send_text(int fd, const char *text)
+{
+	cr_assert_eq(send(fd, text, strlen(text), MSG_NOSIGNAL),
+		     (ssize_t)strlen(text));
+}
+
+/* The other side of a client: accepts, reads, and answers with given bytes. */
+struct script {
+	const char *name;
+	const char *answer;
+	enum http_delivery delivery;
+	unsigned int status;
+	const char *body;
+	bool closes;
+	bool resets;
+	bool delimited;
+	bool kept; /* the connection is used again */
+};
+
+struct ending {
+	bool over;
+	enum http_delivery delivery;
+	unsigned int status;
+	char body[64];
+	bool delimited;
+};
+
+static void ended(const struct http_answer *answer, void *data)
+{
+	struct ending *ending = data;
+
+	ending->over = true;
+	ending->delivery = answer->delivery;
+	ending->status = answer->status;
+	ending->delimited = answer->delimited;
+	snprintf(ending->body, sizeof(ending->body), "%.*s",
+		 (int)answer->body_size, answer->body);
+}
+
+static int accept_one(int listen_fd)
+{
+	struct address from;
+	int fd = NET_NONE;
+	int i;
+
+	for (i = 0; i < TURNS && fd == NET_NONE; i++) {
+		loop_turn(&loop, TURN_US);
+		fd = net_accept(listen_fd, &from);
+	}
+	cr_assert_neq(fd, NET_NONE);
+	return fd;
+}
+
+static void await_request(int fd)
+{
+	char text[1024];
+	int i;
+
+	for (i = 0; i < TURNS; i++) {
+		size_t size = sizeof(text);
+
+		loop_turn(&loop, TURN_US);
+		if (net_read(fd, text, &size) == NET_OK)
+			return;
+	}
+	cr_assert_fail("no request came");
+}
+
+static void reset(int fd)
+{
+	const struct linger now = { 1, 0 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+static void play(struct http_client *client, int listen_fd,
+		 const struct address *address, const struct script *script)
+{
+	const struct http_header headers[] = { { "X-Id", "7" } };
+	char url[ADDRESS_TEXT_SIZE + 16];
+	char text[ADDRESS_TEXT_SIZE];
+	const struct http_request request = {
+		.method = "GET",
+		.url = url,
+		.headers = headers,
+		.header_count = 1,
+		.timeout_ms = 5000,
+		.max_answer_bytes = 40,
+		.echo = "X-Id",
+	};
+	struct ending ending = { .over = false };
+	int fd;
+	int i;
+
+	snprintf(url, sizeof(url), "http://%s/x",
+		 address_format(address, text));
+	http_client_send(client, &request, ended, &ending);
+	fd = accept_one(listen_fd);
+	await_request(fd);
+	send_text(fd, script->answer);
+	loop_turn(&loop, TURN_US);
+	loop_turn(&loop, TURN_US);
+	if (script->resets)
+		reset(fd);
+	if (script->closes || script->resets)
+		net_close(fd);
+	for (i = 0; i < TURNS && !ending.over; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect(ending.over, "%s", script->name);
+	cr_expect_eq(ending.delivery, script->delivery, "%s", script->name);
+	cr_expect_eq(ending.status, script->status, "%s: %u", script->name,
+		     ending.status);
+	cr_expect_str_eq(ending.body, script->body, "%s", script->name);
+	if (ending.delivery == HTTP_ANSWERED)
+		cr_expect_eq(ending.delimited, script->delimited, "%s",
+			     script->name);
+	cr_expect_eq(client->idle != NULL, script->kept, "%s", script->name);
+	if (!script->closes && !script->resets)
+		net_close(fd);
+	/* A kept connection that the server closes is let go of. */
+	for (i = 0; i < TURNS && client->idle; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_null(client->idle, "%s", script->name);
+}
+
+/*
+ * Symptom: a caller gets half an answer for a whole one, or the answer to
+ * another request.
+ * Sequence: an upstream breaks off, sends bytes behind its answer, or sends
+ * an answer left over from an earlier request first.
+ * Cause: an answer taken as it begins, and not as it ends.
+ */
+Test(framing, an_answer_is_whole_and_its_own_or_none, .init = setup,
+     .fini = teardown)
+{
+	static const struct script scripts[] = {
+		{ "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "chunks",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+		  "\r\n2\r\nhi\r\n0\r\n\r\n",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "a last one",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Connection: close\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "kept for no time",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Keep-Alive: timeout=0\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "no length", "HTTP/1.1 200 OK\r\n\r\nhi", HTTP_ANSWERED, 200,
+		  "hi", true, false, false, false },
+		{ "no length, reset", "HTTP/1.1 200 OK\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, true, false, false },
+		{ "cut", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
+		{ "cut chunks",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+		  "\r\n\r\n2\r\nhi\r\n",
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
+		{ "cut head", "HTTP/1.1 200 OK\r\nContent-Le", HTTP_MAY_BE_SENT,
+		  0, "", true, false, false, false },
+		{ "nothing", "", HTTP_MAY_BE_SENT, 0, "", true, false, false,
+		  false },
+		{ "rubbish", "what is this\r\n\r\n", HTTP_MAY_BE_SENT, 0, "",
+		  false, false, false, false },
+		{ "bytes behind",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+		  "hiHTTP/1.1 200 OK\r\n",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "a second answer",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "X-Id: 7\r\n\r\nhiHTTP/1.1 200 OK\r\n"
+		  "Content-Length: 2\r\nX-Id: 7\r\n\r\nho",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
+		{ "one left over",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "X-Id: 6\r\n\r\nhoHTTP/1.1 200 OK\r\n"
+		  "Content-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "only one left over",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 6\r\n\r\nho",
+		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
+		{ "information first",
+		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
+		  "Content-Length: 0\r\n\r\n",
+		  HTTP_ANSWERED, 201, "", false, false, true, true },
+		{ "too large",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
+		  "01234567890123456789012345678901234567890123456"
+		  "789",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "two lengths",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "Content-Length: 3\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "no content", "HTTP/1.1 204 No Content\r\n\r\n",
+		  HTTP_ANSWERED, 204, "", false, false, true, true },
+	};
+	struct http_client client;
+	struct address address;
+	struct error err = ERROR_INIT;
+	int listen_fd;
+	size_t i;
+
+	address_parse("127.0.0.1:0", &address, &err);
+	listen_fd = net_listen(&address, &err);
+	cr_assert_neq(listen_fd, NET_NONE);
+	cr_assert(http_client_init(&client, &loop, &err));
+	for (i = 0; i < COUNT(scripts); i++)
+		play(&client, listen_fd, &address, &scripts[i]);
+	http_client_finish(&client);
+	net_close(listen_fd);
+}
