event: measure the turns of the loop and name what made one long

No metric or log line told how long a turn of the loop took, so two hypotheses could not be told apart: the node that was asked stood still, or the node beside the upstream.

A histogram (loop.turn_us), a counter (loop.long_turns) and a line (long_turn) that names the longest callback and its work. Callbacks get their names where they are set, from the file and the function.

--- a/src/call/link.c
+++ b/src/call/link.c
@@ -39,8 +39,7 @@
 	pipe->loop = loop;
 	pipe->take = take;
 	pipe->data = data;
-	pipe->run.run = pipe_run;
-	pipe->run.data = pipe;
+	deferred_init(&pipe->run, pipe_run, pipe);
 }
 
 void link_pipe_finish(struct link_pipe *pipe)
--- a/src/event/loop.c
+++ b/src/event/loop.c
@@ -49,6 +49,11 @@
 	return loop->now_us;
 }
 
+void loop_name_work(struct loop *loop, const char *work)
+{
+	loop->measured.work = work;
+}
+
 void loop_wake(struct loop *loop)
 {
 	apr_pollset_wakeup(loop->pollset);
@@ -71,14 +76,16 @@
 	       APR_SUCCESS;
 }
 
-bool watch_start(struct watch *watch, struct loop *loop, int fd, int events,
-		 watch_fn *ready, void *data, struct error *err)
+bool watch_start_named(struct watch *watch, struct loop *loop, int fd,
+		       int events, watch_fn *ready, const char *name,
+		       void *data, struct error *err)
 {
 	apr_os_sock_t os_fd = fd;
 
 	memset(watch, 0, sizeof(*watch));
 	watch->loop = loop;
 	watch->ready = ready;
+	watch->name = name;
 	watch->data = data;
 	watch->fd = fd;
 	watch->events = events;
@@ -128,9 +135,11 @@
 	watch->loop = NULL;
 }
 
-void timer_init(struct timer *timer, timer_fn *expired, void *data)
+void timer_init_named(struct timer *timer, timer_fn *expired, const char *name,
+		      void *data)
 {
 	timer->expired = expired;
+	timer->name = name;
 	timer->data = data;
 	timer->at_us = 0;
 	timer->heap_index = 0;
@@ -214,6 +223,15 @@
 	heap_up(loop, last, last->heap_index);
 }
 
+void deferred_init_named(struct deferred *deferred, deferred_fn *run,
+			 const char *name, void *data)
+{
+	memset(deferred, 0, sizeof(*deferred));
+	deferred->run = run;
+	deferred->name = name;
+	deferred->data = data;
+}
+
 static void defer(struct loop *loop, struct deferred *deferred,
 		  enum defer_when when)
 {
@@ -252,56 +270,12 @@
 		remove_deferred(loop, deferred);
 }
 
-/* Runs the calls that are queued now. Calls that these calls queue wait for the
- * next turn, so that a chain of deferred calls cannot starve descriptors and
- * timers. */
-static void run_queue(struct loop *loop, enum defer_when when)
-{
-	struct deferred *next;
-
-	loop->turn++;
-	while ((next = loop->deferred[when]) && next->turn < loop->turn) {
-		remove_deferred(loop, next);
-		next->run(next->data);
-	}
-}
-
-/* Runs one idle call if this turn had nothing else to do, or if too many turns
- * in a row were busy. */
-static void run_idle(struct loop *loop, bool busy)
-{
-	struct deferred *next = loop->deferred[DEFER_IDLE];
-
-	if (!next || (busy && ++loop->busy_turns < BUSY_TURNS_MAX))
-		return;
-	loop->busy_turns = 0;
-	remove_deferred(loop, next);
-	next->run(next->data);
-}
-
 static bool has_deferred(const struct loop *loop)
 {
 	return loop->deferred[DEFER_NORMAL] || loop->deferred[DEFER_TURN_END] ||
 	       loop->deferred[DEFER_IDLE];
 }
 
-/* Returns true if any timer was due. */
-static bool run_timers(struct loop *loop)
-{
-	bool any_due = false;
-
-	loop->running_timers = true;
-	while (loop->timer_count && loop->heap[0]->at_us <= loop->now_us) {
-		struct timer *timer = loop->heap[0];
-
-		timer_cancel(loop, timer);
-		timer->expired(timer, timer->data);
-		any_due = true;
-	}
-	loop->running_timers = false;
-	return any_due;
-}
-
 static int64_t wait_time(const struct loop *loop, int64_t wait_us)
 {
 	int64_t timer_wait_us;
@@ -334,12 +308,18 @@
 	return ready;
 }
 
+static void callback_ended(struct loop *loop, const char *name)
+{
+	turn_callback_ended(&loop->measured, name, clock_monotonic_us());
+}
+
 static void deliver(struct loop *loop)
 {
 	int32_t i;
 
 	for (i = 0; i < loop->batch_count; i++) {
 		struct watch *watch = loop->batch_watches[i];
+		const char *name;
 		int ready;
 
 		if (!watch)
@@ -348,34 +328,98 @@
 			(watch->events ? watch->events : 0);
 		if (!ready && watch->events)
 			ready = watch->events;
-		if (ready)
-			watch->ready(watch, ready, watch->data);
+		if (!ready)
+			continue;
+		/* The callback may free the watch. */
+		name = watch->name;
+		watch->ready(watch, ready, watch->data);
+		callback_ended(loop, name);
 	}
 	loop->batch_count = 0;
 }
 
-void loop_turn(struct loop *loop, int64_t wait_us)
+/* Waits for events. Returns the number of ready descriptors. */
+static int32_t poll_events(struct loop *loop, int64_t wait_us)
 {
 	apr_int32_t count = 0;
-	apr_status_t status;
-	bool busy;
+	apr_status_t status =
+		apr_pollset_poll(loop->pollset, wait_us, &count, &loop->batch);
 	int32_t i;
 
-	wait_us = round_up_ms(wait_time(loop, wait_us));
-	status = apr_pollset_poll(loop->pollset, wait_us, &count, &loop->batch);
 	loop->now_us = clock_monotonic_us();
-	if (status == APR_SUCCESS) {
-		for (i = 0; i < count; i++)
-			loop->batch_watches[i] = loop->batch[i].client_data;
-		loop->batch_count = count;
-		deliver(loop);
+	if (status != APR_SUCCESS)
+		return 0;
+	for (i = 0; i < count; i++)
+		loop->batch_watches[i] = loop->batch[i].client_data;
+	loop->batch_count = count;
+	return count;
+}
+
+/* Runs the calls that are queued now. Calls that these calls queue wait for the
+ * next turn, so that a chain of deferred calls cannot starve descriptors and
+ * timers. */
+static void run_queue(struct loop *loop, enum defer_when when)
+{
+	struct deferred *next;
+
+	loop->turn++;
+	while ((next = loop->deferred[when]) && next->turn < loop->turn) {
+		const char *name = next->name;
+
+		remove_deferred(loop, next);
+		next->run(next->data);
+		callback_ended(loop, name);
+	}
+}
+
+/* Runs one idle call if this turn had nothing else to do, or if too many turns
+ * in a row were busy. */
+static void run_idle(struct loop *loop, bool busy)
+{
+	struct deferred *next = loop->deferred[DEFER_IDLE];
+	const char *name;
+
+	if (!next || (busy && ++loop->busy_turns < BUSY_TURNS_MAX))
+		return;
+	loop->busy_turns = 0;
+	name = next->name;
+	remove_deferred(loop, next);
+	next->run(next->data);
+	callback_ended(loop, name);
+}
+
+/* Returns true if any timer was due. */
+static bool run_timers(struct loop *loop)
+{
+	bool any_due = false;
+
+	loop->running_timers = true;
+	while (loop->timer_count && loop->heap[0]->at_us <= loop->now_us) {
+		struct timer *timer = loop->heap[0];
+		const char *name = timer->name;
+
+		timer_cancel(loop, timer);
+		timer->expired(timer, timer->data);
+		callback_ended(loop, name);
+		any_due = true;
 	}
-	busy = count > 0;
+	loop->running_timers = false;
+	return any_due;
+}
+
+void loop_turn(struct loop *loop, int64_t wait_us)
+{
+	bool busy;
+
+	busy = poll_events(loop, round_up_ms(wait_time(loop, wait_us))) > 0;
+	turn_begin(&loop->measured, loop->now_us);
+	deliver(loop);
 	busy |= run_timers(loop);
 	busy |= loop->deferred[DEFER_NORMAL] != NULL;
 	run_queue(loop, DEFER_NORMAL);
 	run_queue(loop, DEFER_TURN_END);
 	run_idle(loop, busy);
+	turn_end(&loop->measured, clock_monotonic_us());
 }
 
 void loop_run(struct loop *loop)
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #include "base/error.h"
+#include "event/turn.h"
 
 /**
  * DOC: loop
@@ -24,6 +25,9 @@
 
 enum { LOOP_READ = 1, LOOP_WRITE = 2 };
 
+/** CALLBACK_NAME() - names a callback by its file and function, for the log. */
+#define CALLBACK_NAME(fn) __FILE__ ":" #fn
+
 typedef void watch_fn(struct watch *watch, int ready, void *data);
 typedef void timer_fn(struct timer *timer, void *data);
 typedef void deferred_fn(void *data);
@@ -32,6 +36,7 @@
 struct watch {
 	struct loop *loop;
 	watch_fn *ready;
+	const char *name; /* of the callback, for the log */
 	void *data;
 	int fd;
 	int events;
@@ -42,6 +47,7 @@
 /** struct timer - a one-shot timer; memory owned by the caller. */
 struct timer {
 	timer_fn *expired;
+	const char *name; /* of the callback, for the log */
 	void *data;
 	int64_t at_us;
 	uint32_t heap_index; /* 1-based index in the heap, 0 while not set */
@@ -58,6 +64,7 @@
 /** struct deferred - a deferred call; memory owned by the caller. */
 struct deferred {
 	deferred_fn *run;
+	const char *name; /* of the callback, for the log */
 	void *data;
 	struct deferred *next;
 	struct deferred *prev;
@@ -74,6 +81,7 @@
 	uint32_t timer_capacity;
 	struct deferred *deferred[DEFER_QUEUES];
 	uint32_t busy_turns;	   /* since the last idle call ran */
+	struct turn measured;	   /* durations of this turn */
 	const apr_pollfd_t *batch; /* events being delivered */
 	struct watch **batch_watches;
 	int32_t batch_count;
@@ -111,6 +119,13 @@
  */
 int64_t loop_now_us(const struct loop *loop);
 
+/**
+ * loop_name_work() - names what the running callback does, for the log of long
+ *	turns; for callbacks that serve several purposes
+ * @work: a string literal
+ */
+void loop_name_work(struct loop *loop, const char *work);
+
 /**
  * watch_start() - begin to watch a descriptor
  * @fd: stays open until watch_stop()
@@ -120,8 +135,13 @@
  *
  * Return: false with @err set if the descriptor cannot be watched.
  */
-bool watch_start(struct watch *watch, struct loop *loop, int fd, int events,
-		 watch_fn *ready, void *data, struct error *err);
+#define watch_start(watch, loop, fd, events, ready, ...)                       \
+	watch_start_named(watch, loop, fd, events, ready,                      \
+			  CALLBACK_NAME(ready), __VA_ARGS__)
+
+bool watch_start_named(struct watch *watch, struct loop *loop, int fd,
+		       int events, watch_fn *ready, const char *name,
+		       void *data, struct error *err);
 
 /** watch_change() - replace the watched events; 0 pauses the watch. */
 void watch_change(struct watch *watch, int events);
@@ -134,7 +154,11 @@
 void watch_stop(struct watch *watch);
 
 /** timer_init() - set the callback for the expiry of the timer. */
-void timer_init(struct timer *timer, timer_fn *expired, void *data);
+#define timer_init(timer, expired, ...)                                        \
+	timer_init_named(timer, expired, CALLBACK_NAME(expired), __VA_ARGS__)
+
+void timer_init_named(struct timer *timer, timer_fn *expired, const char *name,
+		      void *data);
 
 /**
  * timer_set() - make the timer expire once; replaces an earlier time
@@ -150,6 +174,13 @@
 	return timer->heap_index != 0;
 }
 
+/** deferred_init() - set the function of a deferred call that is not queued. */
+#define deferred_init(deferred, run, ...)                                      \
+	deferred_init_named(deferred, run, CALLBACK_NAME(run), __VA_ARGS__)
+
+void deferred_init_named(struct deferred *deferred, deferred_fn *run,
+			 const char *name, void *data);
+
 /**
  * loop_defer() - run a call once from the loop, after events and timers
  *
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -259,8 +259,7 @@
 	put_request(transfer, request, host,
 		    request->target ? request->target : target);
 	timer_init(&transfer->timer, timer_expired, transfer);
-	transfer->start.run = start_run;
-	transfer->start.data = transfer;
+	deferred_init(&transfer->start, start_run, transfer);
 	DL_APPEND(client->transfers, transfer);
 	client->transfer_count++;
 	loop_defer(client->loop, &transfer->start);
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -308,8 +308,7 @@
 	conn->current_exchange = NULL;
 	exchange->keep_alive = http_should_keep_alive(parser);
 	exchange->state = EXCHANGE_QUEUED;
-	exchange->call_handler.run = call_handler_run;
-	exchange->call_handler.data = exchange;
+	deferred_init(&exchange->call_handler, call_handler_run, exchange);
 	loop_defer(conn->server->loop, &exchange->call_handler);
 	if (!exchange->keep_alive)
 		conn->state = CONN_CLOSING;
@@ -586,10 +585,8 @@
 	conn->server = server;
 	conn->fd = fd;
 	conn->caller_address = *caller_address;
-	conn->flush.run = flush_run;
-	conn->flush.data = conn;
-	conn->resume.run = resume_run;
-	conn->resume.data = conn;
+	deferred_init(&conn->flush, flush_run, conn);
+	deferred_init(&conn->resume, resume_run, conn);
 	timer_init(&conn->timer, timer_expired, conn);
 	http_parser_init(&conn->parser, HTTP_REQUEST);
 	conn->parser.data = conn;
--- a/src/membership/gossip.c
+++ b/src/membership/gossip.c
@@ -240,8 +240,7 @@
 		memcpy(&own.seed, nonce, sizeof(own.seed));
 	}
 	timer_init(&gossip->timer, timer_expired, gossip);
-	gossip->drain.run = drain_run;
-	gossip->drain.data = gossip;
+	deferred_init(&gossip->drain, drain_run, gossip);
 	if (!begin(gossip, &own, err))
 		return false;
 	for (i = 0; i < seed_count; i++)
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -209,6 +209,7 @@
 	struct store_result last = *result;
 
 	reader->head_call = NULL;
+	loop_name_work(reader->loop, "configuration from the store");
 	orders_watch_ended(&reader->orders, &last);
 	/* The lease may have expired meanwhile. A late head does no harm, since
 	 * heads are ordered by their version. */
--- a/src/spread/spread_net.c
+++ b/src/spread/spread_net.c
@@ -105,6 +105,7 @@
 {
 	struct spread_net *net = data;
 
+	loop_name_work(net->loop, "configuration between nodes");
 	spread_frame(&net->spread, conn->id, &conn->peer, message,
 		     loop_now_us(net->loop));
 	drain(net);
@@ -143,8 +144,7 @@
 	}
 	spread_init(&net->spread, &effective, keeper, loop_now_us(loop));
 	timer_init(&net->timer, timer_expired, net);
-	net->drain.run = drain_run;
-	net->drain.data = net;
+	deferred_init(&net->drain, drain_run, net);
 	net->observer.changed = on_changed;
 	net->observer.data = net;
 	keeper_observe(keeper, &net->observer);
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -436,12 +436,9 @@
 	conn->dialed = dialed;
 	conn->state = dialed ? WIRE_CONN_CONNECTING : WIRE_CONN_HANDSHAKE;
 	conn->received_us = loop_now_us(hub->loop);
-	conn->closing.run = closing_run;
-	conn->closing.data = conn;
-	conn->flush.run = flush_run;
-	conn->flush.data = conn;
-	conn->resume.run = resume_run;
-	conn->resume.data = conn;
+	deferred_init(&conn->closing, closing_run, conn);
+	deferred_init(&conn->flush, flush_run, conn);
+	deferred_init(&conn->resume, resume_run, conn);
 	timer_init(&conn->timeout, handshake_expired, conn);
 	DL_APPEND(hub->conns, conn);
 	hub->conn_count++;
--- a/test/standin/link.c
+++ b/test/standin/link.c
@@ -267,8 +267,7 @@
 	relay->link = link;
 	relay->fds[0] = fd;
 	relay->fds[1] = net_connect(&link->to, NULL, &err);
-	relay->closing.run = closing_run;
-	relay->closing.data = relay;
+	deferred_init(&relay->closing, closing_run, relay);
 	DL_APPEND(link->relays, relay);
 	link->relay_count++;
 	link->accepted++;
