event: let no timer or deferred call decide on outdated input

Cause: the node that was asked stands still while it takes a configuration over. When it goes on, the request and the end of its connection wait together. It read the request only, since a read that returned less than the buffer ended the reading, passed it on in the same turn and saw the close in the next one. The other hypothesis, that the node beside the upstream reads the call and its cancel together and hands the call over first, is ruled out where the connection to the upstream is kept or new: the request is sent from a deferred call, which the cancel removes before it runs.

A connection is now read until nothing is left, so its end is seen before the handler runs. And whatever made a turn long, timers and deferred calls run only if the descriptors were polled within the last 5 ms: otherwise what has arrived meanwhile is delivered first. Costs one recv() more for each read of a caller's connection.

--- a/src/event/loop.c
+++ b/src/event/loop.c
@@ -13,6 +13,11 @@
 	MAX_WAIT_US = 1000 * US_PER_MS,
 	TIMER_CAPACITY_MIN = 64,
 	BUSY_TURNS_MAX = 16,
+	/* Age of the last poll from which on the descriptors are polled again
+	 * before the next timer or deferred call runs. */
+	POLL_AGE_MAX_US = 5 * US_PER_MS,
+	/* Bounds the time for which ready descriptors alone are served. */
+	REFRESH_ROUNDS_MAX = 8,
 };
 
 bool loop_init(struct loop *loop, struct error *err)
@@ -33,6 +38,7 @@
 	loop->batch_watches =
 		malloc(sizeof(*loop->batch_watches) * POLLSET_SIZE);
 	loop->now_us = clock_monotonic_us();
+	loop->polled_us = loop->now_us;
 	return true;
 }
 
@@ -347,6 +353,7 @@
 	int32_t i;
 
 	loop->now_us = clock_monotonic_us();
+	loop->polled_us = loop->now_us;
 	if (status != APR_SUCCESS)
 		return 0;
 	for (i = 0; i < count; i++)
@@ -355,6 +362,23 @@
 	return count;
 }
 
+/* Polls and delivers again if the last callbacks took long. The next timer or
+ * deferred call must not decide on input that is outdated by what has arrived
+ * since the last poll. */
+static void refresh_input(struct loop *loop)
+{
+	int round;
+
+	for (round = 0; round < REFRESH_ROUNDS_MAX; round++) {
+		if (loop->measured.callback_us - loop->polled_us <
+		    POLL_AGE_MAX_US)
+			return;
+		poll_events(loop, 0);
+		loop->measured.callback_us = loop->now_us;
+		deliver(loop);
+	}
+}
+
 /* Runs the calls that are queued now. Calls that these calls queue wait for the
  * next turn, so that a chain of deferred calls cannot starve descriptors and
  * timers. */
@@ -369,6 +393,7 @@
 		remove_deferred(loop, next);
 		next->run(next->data);
 		callback_ended(loop, name);
+		refresh_input(loop);
 	}
 }
 
@@ -391,16 +416,18 @@
 /* Returns true if any timer was due. */
 static bool run_timers(struct loop *loop)
 {
+	int64_t due_us = loop->now_us;
 	bool any_due = false;
 
 	loop->running_timers = true;
-	while (loop->timer_count && loop->heap[0]->at_us <= loop->now_us) {
+	while (loop->timer_count && loop->heap[0]->at_us <= due_us) {
 		struct timer *timer = loop->heap[0];
 		const char *name = timer->name;
 
 		timer_cancel(loop, timer);
 		timer->expired(timer, timer->data);
 		callback_ended(loop, name);
+		refresh_input(loop);
 		any_due = true;
 	}
 	loop->running_timers = false;
@@ -414,6 +441,7 @@
 	busy = poll_events(loop, round_up_ms(wait_time(loop, wait_us))) > 0;
 	turn_begin(&loop->measured, loop->now_us);
 	deliver(loop);
+	refresh_input(loop);
 	busy |= run_timers(loop);
 	busy |= loop->deferred[DEFER_NORMAL] != NULL;
 	run_queue(loop, DEFER_NORMAL);
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -16,6 +16,12 @@
  * never nested in the function that queued the call. The loop is
  * single-threaded; only loop_stop() and loop_wake() may be called from a signal
  * handler.
+ *
+ * Timers and deferred calls run only after the descriptors were polled a short
+ * time ago: if a callback takes long, the events that arrived meanwhile are
+ * delivered first. A callback of a descriptor therefore reads its input and
+ * leaves to a deferred call what other input may change. For instance, the
+ * caller of a request that was just read may have hung up already.
  */
 
 struct loop;
@@ -82,6 +88,7 @@
 	struct deferred *deferred[DEFER_QUEUES];
 	uint32_t busy_turns;	   /* since the last idle call ran */
 	struct turn measured;	   /* durations of this turn */
+	int64_t polled_us;	   /* time at which the last poll ended */
 	const apr_pollfd_t *batch; /* events being delivered */
 	struct watch **batch_watches;
 	int32_t batch_count;
--- a/src/event/loop_test.c
+++ b/src/event/loop_test.c
@@ -234,6 +234,53 @@
 	loop_finish(&loop);
 }
 
+enum { LONG_CALLBACK_US = 50 * US_PER_MS };
+
+static void take_long(void *data)
+{
+	record("l");
+	usleep(LONG_CALLBACK_US);
+}
+
+static int pipe_ends[2];
+
+static void take_long_and_write(struct timer *timer, void *data)
+{
+	take_long(NULL);
+	cr_assert_eq(write(pipe_ends[1], "x", 1), 1);
+}
+
+static void run_long_and_write(void *data)
+{
+	take_long_and_write(NULL, NULL);
+}
+
+/*
+ * Guards against decisions on outdated input: what arrives during a long
+ * callback is delivered before the next timer or deferred call runs.
+ */
+Test(loop, input_is_delivered_after_a_long_callback, .init = setup)
+{
+	struct deferred long_call = { .run = run_long_and_write };
+	struct deferred next_call = { .run = on_deferred, .data = "d" };
+	struct error err = ERROR_INIT;
+	struct timer timers[2];
+
+	cr_assert_eq(pipe(pipe_ends), 0);
+	cr_assert(watch_start(&watches[0], &loop, pipe_ends[0], LOOP_READ,
+			      read_one_byte, NULL, &err));
+	timer_init(&timers[0], take_long_and_write, NULL);
+	timer_init(&timers[1], on_timer, "t");
+	timer_set(&loop, &timers[0], 0);
+	timer_set(&loop, &timers[1], 1);
+	loop_defer(&loop, &long_call);
+	loop_defer(&loop, &next_call);
+	loop_turn(&loop, 0);
+	cr_assert_str_eq(order, "lrtlrd");
+	watch_stop(&watches[0]);
+	loop_finish(&loop);
+}
+
 /*
  * Guards against a use after free: a cancelled idle call must be removed from
  * the queue of idle calls.
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -395,7 +395,9 @@
 	parse_input(data);
 }
 
-/* Return: false if the connection was freed. */
+/* Reads until nothing is left, so that a request and the end of its connection
+ * that wait together are seen together, before the request is passed on.
+ * Return: false if the connection was freed. */
 static bool read_input(struct http_conn *conn)
 {
 	int round;
@@ -415,8 +417,6 @@
 			parse_input(conn);
 		else
 			buffer_consume(&conn->in, buffer_size(&conn->in));
-		if (size < NET_READ_BYTES)
-			return true;
 	}
 	return true;
 }
