http: send a request on a new connection from a deferred call

After a long turn the cancel of the request waits beside it and may come second, so that an upstream gets a request whose caller left long ago, and the verdict is "may have run" for what need not have run.

http/a_request_cancelled_as_its_connection_opens_is_not_sent failed before.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -117,6 +117,10 @@
 	struct client_conn *conn = NULL;
 	int fd = transfer->connected_fd;
 
+	if (transfer->conn) {
+		client_conn_start(transfer->conn);
+		return;
+	}
 	if (fd) {
 		transfer->connected_fd = 0;
 		conn = client_conn_adopt(transfer, fd);
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -324,6 +324,11 @@
 					   : LOOP_READ);
 }
 
+void client_conn_start(struct client_conn *conn)
+{
+	write_output(conn);
+}
+
 static void connect_completed(struct client_conn *conn)
 {
 	int result = net_connect_result(conn->fd);
@@ -333,7 +338,11 @@
 		return;
 	}
 	conn->state = CLIENT_BUSY;
-	write_output(conn);
+	watch_change(&conn->watch, LOOP_READ);
+	/* Not written at once: the transfer may be cancelled by input that
+	 * waits already, and a request of which no byte was sent has not run.
+	 */
+	loop_defer(conn->client->loop, &conn->transfer->start);
 }
 
 static void conn_ready(struct watch *watch, int ready, void *data)
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -60,7 +60,8 @@
  *	for none
  * @exchange_deadline_us: monotonic time limit for the whole exchange, in
  *	microseconds; 0 for none
- * @start: deferred call that obtains a connection
+ * @start: deferred call that obtains a connection, and once more to send the
+ *	request when a new connection is established
  */
 struct http_transfer {
 	struct http_client *client;
@@ -107,6 +108,9 @@
  */
 struct client_conn *client_conn_adopt(struct http_transfer *transfer, int fd);
 
+/** client_conn_start() - begins to send the request on a new connection. */
+void client_conn_start(struct client_conn *conn);
+
 /** client_conn_reuse() - uses an idle connection; NULL if none is suitable. */
 struct client_conn *client_conn_reuse(struct http_transfer *transfer);
 
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -209,3 +210,36 @@
 	cr_assert_eq(net_peek(fd), NET_CLOSED);
 	net_close(fd);
 }
+
+static bool cancelled_unsent;
+
+static void cancel_transfer(struct watch *watch, int ready, void *data)
+{
+	cancelled_unsent = !http_client_was_sent(data);
+	http_client_cancel(data);
+	watch_stop(watch);
+}
+
+/* Guards against a request that reaches its server although its cancellation
+ * was already received: both wait while the connection is established. */
+Test(http, a_request_cancelled_as_its_connection_opens_is_not_sent,
+     .init = setup, .fini = teardown)
+{
+	struct http_transfer *transfer = send_to("/echo", 1, true);
+	struct error err = ERROR_INIT;
+	struct watch watch;
+	int ends[2];
+
+	cr_assert_eq(pipe(ends), 0);
+	loop_turn(&loop, 0);
+	/* The connection is established and reported first. */
+	cr_assert(watch_start(&watch, &loop, ends[0], LOOP_READ,
+			      cancel_transfer, transfer, &err));
+	cr_assert_eq(write(ends[1], "x", 1), 1);
+	loop_turn(&loop, TURN_US);
+	cr_assert(cancelled_unsent);
+	loop_turn(&loop, TURN_US);
+	cr_assert_eq(requests, 0);
+	net_close(ends[0]);
+	net_close(ends[1]);
+}
