event: bound the time for which idle work waits

An idle call ran in each 16th busy turn. On a node that is short of processor a busy turn takes milliseconds, so work that is divided into slices would take seconds there. It now also runs when it has waited 4 ms.

loop/idle_work_waits_for_a_limited_time failed before. The test of the number of turns sets the time off, so that no clock decides it.

--- a/src/event/loop.c
+++ b/src/event/loop.c
@@ -12,7 +12,9 @@
 	POLLSET_SIZE = 1024,
 	MAX_WAIT_US = 1000 * US_PER_MS,
 	TIMER_CAPACITY_MIN = 64,
+	/* An idle call waits for this many busy turns, or this long, at most. */
 	BUSY_TURNS_MAX = 16,
+	IDLE_WAIT_MAX_US = 4 * US_PER_MS,
 	/* Age of the last poll from which on the descriptors are polled again
 	 * before the next timer or deferred call runs. */
 	POLL_AGE_MAX_US = 5 * US_PER_MS,
@@ -39,6 +41,8 @@
 		malloc(sizeof(*loop->batch_watches) * POLLSET_SIZE);
 	loop->now_us = clock_monotonic_us();
 	loop->polled_us = loop->now_us;
+	loop->idle_ran_us = loop->now_us;
+	loop->idle_wait_max_us = IDLE_WAIT_MAX_US;
 	return true;
 }
 
@@ -397,20 +401,27 @@
 	}
 }
 
-/* Runs one idle call if this turn had nothing else to do, or if too many turns
- * in a row were busy. */
+/* Runs one idle call if this turn had nothing else to do, or if the idle call
+ * has waited for too many turns or for too long. */
 static void run_idle(struct loop *loop, bool busy)
 {
 	struct deferred *next = loop->deferred[DEFER_IDLE];
 	const char *name;
 
-	if (!next || (busy && ++loop->busy_turns < BUSY_TURNS_MAX))
+	if (!next) {
+		loop->idle_ran_us = loop->measured.callback_us;
+		return;
+	}
+	if (busy && ++loop->busy_turns < BUSY_TURNS_MAX &&
+	    loop->measured.callback_us - loop->idle_ran_us <
+		    loop->idle_wait_max_us)
 		return;
 	loop->busy_turns = 0;
 	name = next->name;
 	remove_deferred(loop, next);
 	next->run(next->data);
 	callback_ended(loop, name);
+	loop->idle_ran_us = loop->measured.callback_us;
 }
 
 /* Returns true if any timer was due. */
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -87,6 +87,8 @@
 	uint32_t timer_capacity;
 	struct deferred *deferred[DEFER_QUEUES];
 	uint32_t busy_turns;	   /* since the last idle call ran */
+	int64_t idle_ran_us;	   /* time at which the last idle call ended */
+	int64_t idle_wait_max_us;  /* longest wait of an idle call */
 	struct turn measured;	   /* durations of this turn */
 	int64_t polled_us;	   /* time at which the last poll ended */
 	const apr_pollfd_t *batch; /* events being delivered */
@@ -210,7 +212,7 @@
  *
  * Used for long work that is divided into short steps: at most one idle call
  * runs in a turn, so that other events wait for one step at most. A loop that
- * is never idle runs one idle call every few turns.
+ * is never idle runs one idle call every few turns or milliseconds.
  */
 void loop_defer_idle(struct loop *loop, struct deferred *deferred);
 
--- a/src/event/loop_test.c
+++ b/src/event/loop_test.c
@@ -225,6 +225,7 @@
 	uint32_t turns;
 
 	runs_left = 1;
+	loop.idle_wait_max_us = INT64_MAX;
 	loop_defer(&loop, &busy);
 	loop_defer_idle(&loop, &idle);
 	for (turns = 0; idle.queued && turns < 100; turns++)
@@ -240,6 +241,27 @@
 {
 	record("l");
 	usleep(LONG_CALLBACK_US);
+	if (data)
+		loop_defer(&loop, data);
+}
+
+/*
+ * Guards against a version that comes into force seconds late on a node whose
+ * busy turns are long.
+ */
+Test(loop, idle_work_waits_for_a_limited_time, .init = setup)
+{
+	struct deferred idle = { .run = run_idle_work, .data = &idle };
+	struct deferred busy = { .run = take_long, .data = &busy };
+
+	runs_left = 2;
+	loop_defer(&loop, &busy);
+	loop_defer_idle(&loop, &idle);
+	loop_turn(&loop, 0);
+	loop_turn(&loop, 0);
+	cr_assert_str_eq(order, "lili");
+	loop_defer_cancel(&loop, &busy);
+	loop_finish(&loop);
 }
 
 static int pipe_ends[2];
