wire: frames of calls pass frames in bulk on the same connection

A connection that brought a version was not read until all of its frames were handled in idle turns, one or two a turn.

Frames of versions and of membership that have to wait go into a buffer of their own; the connection is read on, and what belongs to calls is handled at once. A connection whose peer leaves is closed once they are handled, as before. At most 4 MB wait, then the connection is not read.

--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -21,12 +21,16 @@
 	READS_PER_EVENT_MAX = 4,
 	/* Limits the memory that an unauthenticated peer can occupy. */
 	HANDSHAKE_FRAME_MAX_BYTES = 1024,
+	/* Header of a frame with its type, see frame_type(). */
+	FRAME_HEADER_MIN_BYTES = 4,
 	/* Compressing larger frames, which carry bodies, would delay all
 	 * calls. */
 	COMPRESS_MAX_BYTES = 16 * 1024,
-	/* Time in one turn after which further frames wait for an idle turn, if
-	 * they follow a frame of a version or of membership. */
+	/* Time in one turn after which further frames of versions and of
+	 * membership wait for an idle turn. */
 	BULK_TURN_MAX_US = 100,
+	/* Bytes of such frames from which on the connection is not read. */
+	BULK_MAX_BYTES = 4 * 1024 * 1024,
 };
 
 COUNTER(opened, "wire.connections_opened", "Connections that were proved");
@@ -39,6 +43,12 @@
 COUNTER(queue_full, "wire.queue_full",
 	"Frames not taken because the peer reads too slowly");
 
+static bool may_read(const struct wire_conn *conn)
+{
+	return !conn->ended_by_peer &&
+	       buffer_size(&conn->bulk) < BULK_MAX_BYTES;
+}
+
 void wire_conn_watch(struct wire_conn *conn)
 {
 	int events = LOOP_READ;
@@ -47,7 +57,7 @@
 		return;
 	if (conn->state == WIRE_CONN_CONNECTING || buffer_size(&conn->out))
 		events |= LOOP_WRITE;
-	if (conn->resume.queued)
+	if (!may_read(conn))
 		events &= ~LOOP_READ;
 	if (conn->blocked)
 		events = 0;
@@ -75,6 +85,7 @@
 	loop_defer_cancel(hub->loop, &conn->resume);
 	net_close(conn->fd);
 	buffer_finish(&conn->in);
+	buffer_finish(&conn->bulk);
 	buffer_finish(&conn->out);
 	buffer_finish(&conn->pending);
 	compressor_finish(&conn->compressor);
@@ -265,22 +276,17 @@
 	buffer_remove_last(decompressed, buffer_size(decompressed));
 }
 
-/* Returns true if the frame is of a type that comes in bulk: frames of versions
- * and of membership. */
-static bool handle_frame(struct wire_conn *conn, const uint8_t *data,
+static void handle_frame(struct wire_conn *conn, const uint8_t *data,
 			 size_t size)
 {
 	struct wire_hub *hub = conn->hub;
 	struct error err = ERROR_INIT;
 	struct message message;
-	bool bulk;
 
 	if (!message_decode(&message, data, size, &err)) {
 		close_malformed(conn, &err);
-		return false;
+		return;
 	}
-	bulk = message.type >= FRAME_RANGE_SPREAD &&
-	       message.type < FRAME_RANGE_CALL;
 	if (message.type < FRAME_TYPES) {
 		hub->traffic[message.type].received_bytes +=
 			size + CODEC_LENGTH_BYTES;
@@ -293,7 +299,6 @@
 	else
 		dispatch_frame(conn, &message);
 	message_finish(&message);
-	return bulk;
 }
 
 static size_t frame_limit(const struct wire_conn *conn)
@@ -308,28 +313,45 @@
 	       (size_t)bytes[2] << 8 | bytes[3];
 }
 
-static bool frame_is_complete(const struct wire_conn *conn)
+/* The array header takes one byte for up to 15 elements, or three bytes that
+ * begin with 0xdc. msgpack_pack_uint8() writes types below 128 as one byte. */
+static uint8_t frame_type(const uint8_t *frame)
+{
+	const uint8_t *header = frame + CODEC_LENGTH_BYTES;
+
+	return header[*header == 0xdc ? 3 : 1] % FRAME_TYPES;
+}
+
+/* Returns true if the frame is of a type that comes in bulk, as frames of
+ * versions and of membership do. A closing notice takes its place behind such
+ * frames that wait. */
+static bool is_bulk(const struct wire_conn *conn, const uint8_t *frame,
+		    size_t length)
 {
-	return buffer_size(&conn->in) >= CODEC_LENGTH_BYTES &&
-	       buffer_size(&conn->in) >=
-		       CODEC_LENGTH_BYTES +
-			       frame_length(buffer_data(&conn->in));
+	uint8_t type;
+
+	if (length < FRAME_HEADER_MIN_BYTES)
+		return false;
+	type = frame_type(frame);
+	if (type == FRAME_CLOSE)
+		return buffer_size(&conn->bulk) > 0;
+	return type >= FRAME_RANGE_SPREAD && type < FRAME_RANGE_CALL;
 }
 
 /*
- * Defers the remaining frames of the input to an idle turn if this turn has
- * handled frames for long enough, and returns true if so. A version of a
- * thousand profiles comes as a thousand frames, and parsing all of them in one
- * turn would delay all calls. Nothing is read from the connection until then.
+ * Returns true if the frame has to wait for an idle turn, because this turn has
+ * handled frames for long enough. A version of a thousand profiles comes as a
+ * thousand frames, and handling all of them in one turn would delay all calls.
+ * Frames of calls never wait: one that cancels a call must not be handled later
+ * than necessary.
  */
-static bool defer_remaining_frames(struct wire_conn *conn, int64_t since_us)
+static bool must_wait(const struct wire_conn *conn, const uint8_t *frame,
+		      size_t length, int64_t since_us)
 {
-	if (conn->state != WIRE_CONN_OPEN || !frame_is_complete(conn) ||
-	    clock_monotonic_us() - since_us < BULK_TURN_MAX_US)
+	if (conn->state != WIRE_CONN_OPEN || !is_bulk(conn, frame, length))
 		return false;
-	loop_defer_idle(conn->hub->loop, &conn->resume);
-	wire_conn_watch(conn);
-	return true;
+	return buffer_size(&conn->bulk) ||
+	       clock_monotonic_us() - since_us >= BULK_TURN_MAX_US;
 }
 
 static void handle_input(struct wire_conn *conn)
@@ -338,8 +360,8 @@
 
 	while (conn->state != WIRE_CONN_CLOSED &&
 	       buffer_size(&conn->in) >= CODEC_LENGTH_BYTES) {
-		size_t length = frame_length(buffer_data(&conn->in));
-		bool bulk;
+		const uint8_t *frame = buffer_data(&conn->in);
+		size_t length = frame_length(frame);
 
 		if (length == 0 || length > frame_limit(conn)) {
 			counter_add(&malformed, 1);
@@ -348,22 +370,63 @@
 			return;
 		}
 		if (buffer_size(&conn->in) < CODEC_LENGTH_BYTES + length)
-			return;
-		bulk = handle_frame(conn,
-				    buffer_data(&conn->in) + CODEC_LENGTH_BYTES,
-				    length);
+			break;
+		if (must_wait(conn, frame, length, since_us))
+			buffer_append(&conn->bulk, frame,
+				      CODEC_LENGTH_BYTES + length);
+		else
+			handle_frame(conn, frame + CODEC_LENGTH_BYTES, length);
 		buffer_consume(&conn->in, CODEC_LENGTH_BYTES + length);
-		if (bulk && defer_remaining_frames(conn, since_us))
-			return;
 	}
+	if (conn->state != WIRE_CONN_CLOSED && buffer_size(&conn->bulk)) {
+		loop_defer_idle(conn->hub->loop, &conn->resume);
+		wire_conn_watch(conn);
+	}
+}
+
+static void close_ended_by_peer(struct wire_conn *conn)
+{
+	wire_conn_close(conn, ERROR_IO, "closed by the peer");
 }
 
+/* Handles frames that wait in @bulk for a limited time. */
 static void resume_run(void *data)
 {
 	struct wire_conn *conn = data;
+	int64_t since_us = clock_monotonic_us();
+
+	while (conn->state != WIRE_CONN_CLOSED && buffer_size(&conn->bulk)) {
+		const uint8_t *frame = buffer_data(&conn->bulk);
+		size_t length = frame_length(frame);
+
+		handle_frame(conn, frame + CODEC_LENGTH_BYTES, length);
+		buffer_consume(&conn->bulk, CODEC_LENGTH_BYTES + length);
+		if (clock_monotonic_us() - since_us >= BULK_TURN_MAX_US)
+			break;
+	}
+	if (conn->state == WIRE_CONN_CLOSED)
+		return;
+	if (buffer_size(&conn->bulk))
+		loop_defer_idle(conn->hub->loop, &conn->resume);
+	else if (conn->ended_by_peer)
+		close_ended_by_peer(conn);
+	wire_conn_watch(conn);
+}
 
+/* The connection cannot be read any more. A version that was received before
+ * the end is still taken over. */
+static void read_failed(struct wire_conn *conn, enum net_result result)
+{
+	if (result != NET_CLOSED) {
+		wire_conn_close(conn, ERROR_IO, "connection reset");
+		return;
+	}
+	if (!buffer_size(&conn->bulk)) {
+		close_ended_by_peer(conn);
+		return;
+	}
+	conn->ended_by_peer = true;
 	wire_conn_watch(conn);
-	handle_input(conn);
 }
 
 static void read_in(struct wire_conn *conn)
@@ -378,15 +441,12 @@
 		if (result == NET_AGAIN)
 			return;
 		if (result != NET_OK) {
-			wire_conn_close(conn, ERROR_IO,
-					result == NET_CLOSED
-						? "closed by the peer"
-						: "connection reset");
+			read_failed(conn, result);
 			return;
 		}
 		conn->received_us = loop_now_us(conn->hub->loop);
 		handle_input(conn);
-		if (conn->state == WIRE_CONN_CLOSED || conn->resume.queued ||
+		if (conn->state == WIRE_CONN_CLOSED || !may_read(conn) ||
 		    size < NET_READ_BYTES)
 			return;
 	}
@@ -416,7 +476,7 @@
 	if (ready & LOOP_WRITE)
 		write_out(conn);
 	if ((ready & LOOP_READ) && conn->state != WIRE_CONN_CLOSED &&
-	    !conn->resume.queued)
+	    may_read(conn))
 		read_in(conn);
 }
 
@@ -455,15 +515,6 @@
 	return conn;
 }
 
-/* The array header takes one byte for up to 15 elements, or three bytes that
- * begin with 0xdc. msgpack_pack_uint8() writes types below 128 as one byte. */
-static uint8_t frame_type(const uint8_t *frame)
-{
-	const uint8_t *header = frame + CODEC_LENGTH_BYTES;
-
-	return header[*header == 0xdc ? 3 : 1] % FRAME_TYPES;
-}
-
 static bool should_compress(const struct wire_conn *conn, uint8_t type,
 			    size_t size)
 {
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -96,8 +96,10 @@
 	struct timer timeout;
 	struct deferred closing;
 	struct deferred flush;
-	struct deferred resume; /* queued while frames wait in @in */
+	struct deferred resume; /* queued while frames wait in @bulk */
 	struct buffer in;
+	struct buffer bulk;    /* frames that wait for an idle turn */
+	bool ended_by_peer;    /* closed once @bulk is handled */
 	struct buffer out;     /* can be sent now */
 	struct buffer pending; /* sent after the handshake */
 	struct compressor compressor;
--- a/src/wire/hub_test.c
+++ b/src/wire/hub_test.c
@@ -339,6 +339,40 @@
 	loop_finish(&loop);
 }
 
+/*
+ * Guards against a call whose cancellation is handled too late, because it
+ * stands behind frames of a version on the same connection.
+ */
+Test(hub, frames_of_calls_pass_frames_in_bulk, .init = setup)
+{
+	static struct end peer;
+	static struct end node;
+	struct wire_conn *conn;
+	int i;
+
+	end_init(&peer, "cellar", "secret");
+	end_init(&node, "cellar", "secret");
+	wire_hub_register(&node.hub, FRAME_RANGE_SPREAD, on_bulk, NULL, &node);
+	conn = wire_hub_connect(&peer.hub, &node.hub.self.address);
+	turn_until(&node.opened, 1);
+	turn_until(&peer.opened, 1);
+	for (i = 0; i < BULK_FRAMES; i++) {
+		send_frame(conn, FRAME_RANGE_SPREAD, 100);
+		send_test_frame(conn, 10);
+	}
+	turn_until(&node.frames, BULK_FRAMES);
+	cr_assert_eq(node.frames, BULK_FRAMES);
+	cr_assert_lt(node.bulk, BULK_FRAMES / 4, "%u bulk frames came before",
+		     node.bulk);
+	/* The frames that wait are handled although the peer leaves. */
+	wire_hub_finish(&peer.hub);
+	turn_until(&node.closed, 1);
+	cr_assert_eq(node.bulk, BULK_FRAMES);
+	cr_assert_eq(node.closed, 1);
+	wire_hub_finish(&node.hub);
+	loop_finish(&loop);
+}
+
 /*
  * Frames of calls between data centres are compressed, and no others. Frames of
  * any size arrive.
