spread: keep bodies in the compressed form that they come in

A node keeps what it received, and a reader compresses each body in the slice that offers it. The lines now say which kind of frame took long.

keeper/a_body_keeps_the_compressed_form_that_it_came_in; without the new function there was nothing to call.

--- a/src/profile/keeper.c
+++ b/src/profile/keeper.c
@@ -543,6 +543,21 @@
 	return body->compressed;
 }
 
+void keeper_set_compressed(struct keeper *keeper,
+			   const uint8_t hash[CONTENT_HASH_BYTES],
+			   const void *compressed, size_t compressed_size)
+{
+	struct keeper_body *body = find_body(keeper, hash);
+
+	if (!body || !body->bytes || body->compressed)
+		return;
+	body->compressed = malloc(compressed_size);
+	if (!body->compressed)
+		abort();
+	memcpy(body->compressed, compressed, compressed_size);
+	body->compressed_size = compressed_size;
+}
+
 uint8_t *keeper_head_since(const struct keeper *keeper, uint64_t version,
 			   size_t *size)
 {
--- a/src/profile/keeper.h
+++ b/src/profile/keeper.h
@@ -178,6 +178,16 @@
 				      const uint8_t hash[CONTENT_HASH_BYTES],
 				      size_t *compressed_size, size_t *size);
 
+/**
+ * keeper_set_compressed() - stores the compressed form of a body that is held
+ * @compressed: result of compress_bytes() for the body; copied
+ *
+ * Without it, the first keeper_compressed_body() compresses the body.
+ */
+void keeper_set_compressed(struct keeper *keeper,
+			   const uint8_t hash[CONTENT_HASH_BYTES],
+			   const void *compressed, size_t compressed_size);
+
 /** keeper_body() - returns a body by its hash, NULL if it is not held. */
 const uint8_t *keeper_body(const struct keeper *keeper,
 			   const uint8_t hash[CONTENT_HASH_BYTES],
--- a/src/profile/keeper_test.c
+++ b/src/profile/keeper_test.c
@@ -341,3 +341,37 @@
 	cr_assert_eq(config_find(keeper_config(&keeper), "b"), b);
 	head_finish(&head);
 }
+
+/* Guards against a node that compresses all bodies of a version again when it
+ * sends them on, which delays its calls. */
+Test(keeper, a_body_keeps_the_compressed_form_that_it_came_in)
+{
+	static const char compressed[] = "as received";
+	uint8_t hash[CONTENT_HASH_BYTES];
+	char text[TEXT_SIZE];
+	size_t compressed_size;
+	struct head head;
+	size_t size;
+
+	keeper_init(&keeper);
+	head_init(&head);
+	next(&head);
+	set(&head, "a", 1);
+	head_seal(&head);
+	text_of(1, text);
+	content_hash(text, strlen(text), hash);
+	keeper_set_compressed(&keeper, hash, compressed, sizeof(compressed));
+	cr_expect_null(
+		keeper_compressed_body(&keeper, hash, &compressed_size, &size));
+	cr_assert_eq(offer(&head), KEEPER_INCOMPLETE);
+	cr_assert_eq(keeper_offer_body(&keeper, text, strlen(text), &err),
+		     KEEPER_IN_FORCE);
+	keeper_set_compressed(&keeper, hash, compressed, sizeof(compressed));
+	cr_assert_str_eq((const char *)keeper_compressed_body(
+				 &keeper, hash, &compressed_size, &size),
+			 compressed);
+	cr_expect_eq(compressed_size, sizeof(compressed));
+	cr_expect_eq(size, strlen(text));
+	head_finish(&head);
+	keeper_finish(&keeper);
+}
--- a/src/spread/spread.c
+++ b/src/spread/spread.c
@@ -296,6 +296,7 @@
 	struct error refusal = ERROR_INIT;
 	enum keeper_offer_result offer;
 	const uint8_t *compressed;
+	uint8_t hash[CONTENT_HASH_BYTES];
 	uint8_t *body;
 	uint64_t more;
 	uint64_t size;
@@ -315,6 +316,10 @@
 	spread->offering_from_peer = true;
 	offer = keeper_offer_body(spread->keeper, body, size, &refusal);
 	spread->offering_from_peer = false;
+	/* This node will send the body on to others. */
+	content_hash(body, size, hash);
+	keeper_set_compressed(spread->keeper, hash, compressed,
+			      compressed_size);
 	free(body);
 	extend_deadline(spread);
 	switch (offer) {
--- a/src/spread/spread_net.c
+++ b/src/spread/spread_net.c
@@ -4,6 +4,7 @@
 #include <utlist.h>
 
 #include "base/log.h"
+#include "spread/spread_defs.h"
 
 static const char component[] = "spread";
 
@@ -100,12 +101,27 @@
 	drain(net);
 }
 
+static const char *work_name(uint8_t type)
+{
+	switch (type) {
+	case FRAME_SPREAD_HEAD:
+		return "head from a node";
+	case FRAME_SPREAD_BODY:
+		return "body from a node";
+	case FRAME_SPREAD_GET:
+	case FRAME_SPREAD_GET_BODIES:
+		return "version for a node";
+	default:
+		return "answer of a node about a version";
+	}
+}
+
 static void on_frame(struct wire_conn *conn, const struct message *message,
 		     void *data)
 {
 	struct spread_net *net = data;
 
-	loop_name_work(net->loop, "configuration between nodes");
+	loop_name_work(net->loop, work_name(message->type));
 	spread_frame(&net->spread, conn->id, &conn->peer, message,
 		     loop_now_us(net->loop));
 	drain(net);
