http: notice a hang-up behind a full pipeline

Up to 16 KB behind a full pipeline are read ahead, and with them the end of the connection. Only a caller that sends more is held back.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -14,6 +14,9 @@
 enum {
 	READ_ROUNDS = 4,
 	LINGER_MS = 1000,
+	/* Bytes read behind a full pipeline, so that the end of the connection
+	 * is seen unless the caller has sent more. */
+	READ_AHEAD_MAX_BYTES = 16 * 1024,
 	STATUS_BAD_REQUEST = 400,
 	STATUS_TIMEOUT = 408,
 	STATUS_TOO_LARGE = 413,
@@ -378,15 +381,15 @@
 	return false;
 }
 
-/* Pauses reading while the pipeline is full, so that TCP flow control slows the
- * caller down. */
+/* Pauses reading while the pipeline is full and the caller goes on sending, so
+ * that TCP flow control slows the caller down. */
 static void parse_input(struct http_conn *conn)
 {
 	while (parse_message(conn))
 		;
 	if (conn->state != CONN_OPEN)
 		buffer_consume(&conn->in, buffer_size(&conn->in));
-	conn->read_paused = buffer_size(&conn->in) > 0;
+	conn->read_paused = buffer_size(&conn->in) >= READ_AHEAD_MAX_BYTES;
 	update_watch(conn);
 }
 
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -90,7 +90,8 @@
  * @current_exchange: exchange whose request is being parsed, or NULL
  * @exchanges: list in the order of the requests, @current_exchange included
  * @in_head: whether the head of @current_exchange is being parsed
- * @read_paused: whether reading is paused because the pipeline is full
+ * @read_paused: whether reading is paused because the pipeline is full and much
+ *	input waits behind it
  * @out: output that is not written yet
  * @queued_bytes: total number of bytes appended to @out
  * @written_bytes: total number of bytes written to the socket
--- a/src/http/framing_test.c
+++ b/src/http/framing_test.c
@@ -5,6 +5,7 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "http/conn.h"
 #include "http/server.h"
 #include "os/net.h"
 
@@ -430,3 +431,26 @@
 	cr_expect_eq(server.exchange_count, 0);
 	cr_expect_eq(server.held_bytes, 0);
 }
+
+/* Guards against requests that run on for a caller who has hung up, because the
+ * end of the connection waits behind requests over the pipeline limit. */
+Test(framing, a_caller_that_hangs_up_behind_a_full_pipeline_is_noticed,
+     .init = setup, .fini = teardown)
+{
+	static char text[TEXT_SIZE];
+	int fd = connect_to(http_server_address(&server));
+	int i;
+
+	send_text(fd, "GET /later/1 HTTP/1.1\r\nHost: h\r\n\r\n");
+	for (i = 0; i < 2 * CONN_PIPELINE_MAX; i++)
+		send_text(fd, "GET /now HTTP/1.1\r\nHost: h\r\n\r\n");
+	collect(fd, text);
+	cr_assert_eq(pending_count, 1);
+	aborts = 0;
+	http_exchange_on_abort(pending[0], on_abort, NULL);
+	net_close(fd);
+	for (i = 0; i < TURNS && !aborts; i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_eq(aborts, 1);
+	cr_expect_eq(server.exchange_count, 0);
+}
