route: keep the indices of a pool right when its last endpoint moves

Cause: an endpoint is removed from a pool by moving the last one to its place, local ones first. In a pool without remote endpoints the place is behind the end after the first move, and the last endpoint, already moved, was given that index. If an endpoint is then added and this one removed, the added one falls out of the pool and the removed one stays in it, freed. The pool gives calls to a node that is gone, reports no upstream where one lives, or crashes the process. Data centres are in this state after a cut that outlasts the records of the others, and single ones always.

Ruled out: a reference counted twice (all holders were read).

pool/holds_each_present_instance_once and its random twin failed before, at the sequence "add a and b, remove a, remove b" and at the first seed. No other list of the tree removes by moving the last element.

--- a/src/route/route.c
+++ b/src/route/route.c
@@ -140,7 +140,8 @@
 		index = pool->local_count;
 	}
 	pool->count--;
-	pool_set_endpoint(pool, index, pool->endpoints[pool->count]);
+	if (index != pool->count)
+		pool_set_endpoint(pool, index, pool->endpoints[pool->count]);
 	endpoint->pool = NULL;
 }
 
