--- a/src/event/turn.c
+++ b/src/event/turn.c
@@ -6,8 +6,7 @@
 #include "base/log.h"
 #include "os/clock.h"
 
-/* A call through two nodes may be delayed by this much without a caller
- * noticing; longer turns are logged. */
+/* Shorter turns matter little to target latencies of 100 ms and more. */
 enum { LONG_TURN_MS = 20 };
 
 HISTOGRAM(turn_time, "loop.turn_us",
