--- a/src/profile/reader_document_test.c
+++ b/src/profile/reader_document_test.c
@@ -137,16 +137,16 @@
 
 static const struct {
 	const char *name;
-	uint32_t routes;
 	const char *end;
 	uint64_t version; /* in force afterwards */
+	uint32_t routes;
 	uint32_t other_calls_min;
 } cases[] = {
-	{ "large", ROUTES, ",\"limits\":{}}", 7, DOCUMENT_SHARDS },
-	{ "small", 1, "}", 7, 0 },
-	{ "a route that is no route", ROUTES, ",\"routes\":{\"r\":{}}}", 0, 0 },
-	{ "cut off", ROUTES, "", 0, 0 },
-	{ "followed by other bytes", ROUTES, "}}", 0, 0 },
+	{ "large", ",\"limits\":{}}", 7, ROUTES, DOCUMENT_SHARDS },
+	{ "small", "}", 7, 1, 0 },
+	{ "a route that is no route", ",\"routes\":{\"r\":{}}}", 0, ROUTES, 0 },
+	{ "cut off", "", 0, ROUTES, 0 },
+	{ "followed by other bytes", "}}", 0, ROUTES, 0 },
 };
 
 /*
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -140,7 +140,8 @@
 		index = pool->local_count;
 	}
 	pool->count--;
-	if (index != pool->count)
+	/* The place of the last endpoint is free already. */
+	if (index < pool->count)
 		pool_set_endpoint(pool, index, pool->endpoints[pool->count]);
 	endpoint->pool = NULL;
 }
@@ -171,9 +172,11 @@
 	uint32_t i;
 
 	for (i = 0; i < pool->count; i++) {
-		const char *name = pool->endpoints[i]->record.profile;
+		const char *name;
 		uint32_t votes;
 
+		assert(pool->endpoints[i]);
+		name = pool->endpoints[i]->record.profile;
 		if (winner && !strcmp(name, winner))
 			continue;
 		votes = count_votes(pool, i, serving);
