call: log the fingerprint of a request's content

Lines about a request named it by its id alone, which is new with each repetition by a client. Whether one request ended several upstreams could not be seen in the logs: repetitions by clients, further attempts of nodes and other requests that ran beside them looked alike.

No decision uses it.

--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "call/content.h"
 #include "call/outbound_call.h"
 #include "call/reply.h"
 #include "os/clock.h"
@@ -138,6 +139,25 @@
 			 (unsigned long long)call->caller->sequence + 1);
 }
 
+static struct fingerprint compute_fingerprint(const struct call *call)
+{
+	const struct parsed_request *parsed = &call->parsed;
+	const struct call_content content = {
+		.names = parsed->names,
+		.method = http_exchange_method(call->exchange),
+		.service = parsed->service,
+		.target = http_exchange_target(call->exchange),
+		.tenant = parsed->context.tenant,
+		.headers = { buffer_data(&parsed->headers),
+			     buffer_size(&parsed->headers) },
+		.body = call->body,
+		.body_size = call->body_size,
+	};
+
+	return call_content_fingerprint(&call->caller->fingerprint_key,
+					&content);
+}
+
 static struct call *call_new(struct caller *caller,
 			     struct http_exchange *exchange,
 			     const struct parsed_request *parsed,
@@ -161,6 +181,7 @@
 	DL_APPEND(caller->calls, call);
 	caller->call_count++;
 	fill_context(call);
+	call->fingerprint = compute_fingerprint(call);
 	return call;
 }
 
@@ -311,6 +332,7 @@
 {
 	memset(caller, 0, sizeof(*caller));
 	caller->options = *options;
+	fingerprint_key_init(&caller->fingerprint_key, &options->hub->key);
 	caller->table = calloc(CALL_TABLE_BUCKETS, sizeof(struct call *));
 	if (!caller->table)
 		abort();
--- a/src/call/caller.h
+++ b/src/call/caller.h
@@ -8,6 +8,7 @@
 #include "call/link.h"
 #include "call/adaptive_timeout.h"
 #include "http/server.h"
+#include "quarantine/fingerprint.h"
 #include "route/route.h"
 
 /**
@@ -108,6 +109,7 @@
  */
 struct caller {
 	struct caller_options options;
+	struct fingerprint_key fingerprint_key;
 	uint64_t sequence;
 	struct call **table;
 	struct call *calls;
--- a/src/call/headers.h
+++ b/src/call/headers.h
@@ -22,4 +22,13 @@
 size_t headers_split(const struct call_bytes *bytes,
 		     struct http_header *headers);
 
+/**
+ * headers_find() - returns the first value of a header field
+ *
+ * The case of @name is ignored.
+ *
+ * Return: "" if the field is missing.
+ */
+const char *headers_find(const struct call_bytes *bytes, const char *name);
+
 #endif
--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/latency.h"
 #include "base/log.h"
+#include "call/content.h"
 #include "call/inbound.h"
 #include "os/clock.h"
 
@@ -149,6 +150,12 @@
 	       US_PER_MS;
 }
 
+static const char *content_text(const struct inbound *inbound,
+				char text[FINGERPRINT_TEXT_SIZE])
+{
+	return fingerprint_text(inbound->fingerprint.content, text);
+}
+
 /* Logs an attempt that was sent to the upstream. */
 static void log_served(const struct inbound *inbound,
 		       const struct upstream_result *result,
@@ -157,6 +164,7 @@
 	const struct server *server = inbound->server;
 	const struct gate_request *gate = &inbound->gate;
 	bool well = result->answered && answer->status < STATUS_SERVER_ERROR;
+	char content[FINGERPRINT_TEXT_SIZE];
 	const struct log_field fields[] = {
 		LOG_TEXT("request", inbound->context.request_id),
 		LOG_TEXT("from", inbound->peer ? link_name(&inbound->peer->link)
@@ -167,6 +175,7 @@
 		LOG_NUMBER("status", answer->status),
 		LOG_TEXT("text", result->answered ? NULL : answer->err->text),
 		LOG_TEXT("kind", inbound->context.kind),
+		LOG_TEXT("content", content_text(inbound, content)),
 		LOG_NUMBER("queued_ms",
 			   (gate->started_us - gate->arrived_us) / US_PER_MS),
 		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
@@ -189,12 +198,14 @@
 			const struct call_outcome *outcome, int64_t took_us)
 {
 	const struct gate_request *gate = &inbound->gate;
+	char content[FINGERPRINT_TEXT_SIZE];
 	const struct log_field fields[] = {
 		LOG_TEXT("request", inbound->context.request_id),
 		LOG_TEXT("start", inbound->server->upstream_id),
 		LOG_TEXT("end", end_name(outcome)),
 		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
 		LOG_TEXT("kind", inbound->context.kind),
+		LOG_TEXT("content", content_text(inbound, content)),
 		LOG_NUMBER("queued_ms",
 			   (gate->started_us - gate->arrived_us) / US_PER_MS),
 		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
@@ -530,6 +541,24 @@
 	return inbound;
 }
 
+static struct fingerprint compute_fingerprint(const struct inbound *inbound)
+{
+	const struct server *server = inbound->server;
+	const struct call_content content = {
+		.names = server->options.names,
+		.method = inbound->method,
+		.service = server->service,
+		.target = inbound->target,
+		.tenant = inbound->context.tenant,
+		.headers = { buffer_data(&inbound->headers),
+			     buffer_size(&inbound->headers) },
+		.body = buffer_data(&inbound->body),
+		.body_size = buffer_size(&inbound->body),
+	};
+
+	return call_content_fingerprint(&server->fingerprint_key, &content);
+}
+
 void inbound_append_body(struct inbound *inbound, uint64_t offset,
 			 const struct call_bytes *part)
 {
@@ -540,8 +569,10 @@
 		return;
 	}
 	buffer_append(&inbound->body, part->data, part->size);
-	if (buffer_size(&inbound->body) == inbound->body_size)
-		offer_to_gate(inbound);
+	if (buffer_size(&inbound->body) != inbound->body_size)
+		return;
+	inbound->fingerprint = compute_fingerprint(inbound);
+	offer_to_gate(inbound);
 }
 
 /* The caller's node may still query the attempt over a new connection. */
--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -27,6 +27,7 @@
  * @repeatable: true if the request is idempotent
  * @headers: "name\0value\0" for each field
  * @body_size: size of the complete body, in bytes
+ * @fingerprint: fingerprint of the content; valid once the body is complete
  * @transfer: exchange with the upstream; valid in INBOUND_RUNNING
  * @sent_us: time at which the request was sent to the upstream, in
  *	microseconds of the monotonic clock
@@ -50,6 +51,7 @@
 	struct buffer headers;
 	struct buffer body;
 	uint64_t body_size;
+	struct fingerprint fingerprint;
 	struct gate_request gate;
 	struct http_transfer *transfer;
 	int64_t sent_us;
--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -236,6 +236,7 @@
 {
 	int64_t now_us = clock_monotonic_us();
 	const struct call_context *context = &call->parsed.context;
+	char content[FINGERPRINT_TEXT_SIZE];
 	const struct log_field fields[] = {
 		LOG_TEXT("request", context->request_id),
 		LOG_TEXT("end", end),
@@ -243,6 +244,8 @@
 		LOG_NUMBER("status", status),
 		LOG_TEXT("service", call->parsed.service),
 		LOG_TEXT("kind", context->kind),
+		LOG_TEXT("content",
+			 fingerprint_text(call->fingerprint.content, content)),
 		LOG_NUMBER("version", (int64_t)call->config->version),
 		LOG_NUMBER("took_ms", (now_us - call->started_us) / US_PER_MS),
 		LOG_NUMBER("upstream_ms", call->answer.service_us / US_PER_MS),
--- a/src/call/outbound_call.h
+++ b/src/call/outbound_call.h
@@ -51,6 +51,7 @@
  * @started_us: when the call began
  * @attempt_began_us: when the current attempt began
  * @body: body of the request, owned by @exchange
+ * @fingerprint: fingerprint of the content
  * @body_queued: bytes of @body queued in the current attempt
  * @answer: answer of the current attempt
  * @failure: last answer that reported a failure of the upstream; sent to the
@@ -80,6 +81,7 @@
 	int64_t attempt_began_us;
 	const uint8_t *body;
 	size_t body_size;
+	struct fingerprint fingerprint;
 	size_t body_queued;
 	struct placement placement;
 	struct assembly answer;
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -9,6 +9,7 @@
 #include "gate/gate.h"
 #include "http/client.h"
 #include "http/spare.h"
+#include "quarantine/fingerprint.h"
 #include "rollout/request_stats.h"
 
 /**
@@ -89,6 +90,7 @@
 
 struct server {
 	struct serve_options options;
+	struct fingerprint_key fingerprint_key;
 	struct recent recent;
 	struct address upstream;
 	struct spares spares; /* unused open connections to the upstream */
