functional: a request that ends the upstreams that run it

Callers see nine in ten requests of a service refused or lost for ten seconds and more, because one request that each upstream dies of comes again and again and each repetition is sent on. The stand-in plays such a request (?crash_us=N).

--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -20,7 +20,8 @@
  *	any other path			a request, answered with its id
  *
  * The query of a request may set ?bytes=N (size of the answer) and
- * ?service_us=N (service time).
+ * ?service_us=N (service time). A request with ?crash_us=N ends the process N
+ * microseconds after it has begun to run.
  */
 
 enum { UPSTREAM_ID_SIZE = 96, UPSTREAMS_MAX = 64 };
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -1,4 +1,5 @@
 #include <math.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -111,6 +112,8 @@
 	struct upstream_job *job = data;
 	struct upstream *upstream = job->upstream;
 
+	if (http_exchange_query(job->exchange, "crash_us"))
+		raise(SIGKILL);
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
 		http_exchange_close(job->exchange);
@@ -151,7 +154,8 @@
 static void job_run(struct upstream_job *job)
 {
 	struct upstream *upstream = job->upstream;
-	int64_t wait_us = service_time(job);
+	int64_t wait_us =
+		query_number(job->exchange, "crash_us", service_time(job));
 
 	DL_DELETE(upstream->waiting, job);
 	upstream->waiting_count--;
