call: read and log what an upstream says of itself in its answers

An upstream that names a limit or that it leaves was not visible in any log line: the field passed through. The node beside it now reads both fields of each answer of the present incarnation, logs when one begins or ends, and counts and logs texts that cannot be read (no number, negative, not finite, an exponent, a unit, twice). Nothing acts on them yet.

--- a/scripts/check-names.sh
+++ b/scripts/check-names.sh
@@ -2,7 +2,7 @@
 # Checks that src/ and include/, except for tests, contain no names of the
 # target platform: header fields, paths, keys and fields of documents.
 names='X-Request-Id|X-Deadline-Ms|X-Response-Stamp|X-Target-Instance'
-names="$names|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Instance-Id"
+names="$names|Server-Limit|Server-Leaving|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Instance-Id"
 names="$names|/-/|Instances\\.|weighted_clusters|target_latency_s"
 names="$names|max_attempts|op/config|cold_left_s|heartbeat_addr"
 names="$names|has_more|as_of|stale_ok|ttl_s_time"
--- a/src/call/call_defs.h
+++ b/src/call/call_defs.h
@@ -44,6 +44,8 @@
 #define HEADER_UPSTREAM HEADER_PREFIX "Upstream"
 #define HEADER_RETRY_AFTER_MS HEADER_PREFIX "Retry-After-Ms"
 #define HEADER_SHED HEADER_PREFIX "Shed"
+#define HEADER_RATE_LIMIT HEADER_PREFIX "Rate-Limit"
+#define HEADER_LEAVING HEADER_PREFIX "Leaving"
 
 /**
  * struct call_id - identity of one attempt of a call
--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -23,6 +23,8 @@
 	"Copies of calls that had been seen before, not run again");
 COUNTER(orphans, "call.orphaned",
 	"Calls whose connection was lost while they were here");
+COUNTER(bad_notices, "call.notices_invalid",
+	"Answers with an unreadable limit or notice of leaving");
 HISTOGRAM(upstream_time, "call.upstream_us",
 	  "Time from the gate to the whole answer of the upstream");
 
@@ -309,6 +311,50 @@
 					   failed, inbound->timed);
 }
 
+static void log_notice(const struct server *server,
+		       const struct upstream_notice *notice)
+{
+	const struct upstream_notice *before = &server->notice;
+
+	if (notice->has_rate_limit != before->has_rate_limit)
+		log_info(component, "upstream_limit",
+			 LOG_TEXT("start", server->upstream_id),
+			 LOG_NUMBER("named", notice->has_rate_limit),
+			 LOG_NUMBER("per_1000_s",
+				    (int64_t)(notice->rate_limit_per_s *
+					      MS_PER_S)));
+	if (notice->leaving != before->leaving)
+		log_info(component, "upstream_leaving",
+			 LOG_TEXT("start", server->upstream_id),
+			 LOG_NUMBER("told", notice->leaving));
+}
+
+/* Reads what the upstream says of itself in an answer. An answer of another
+ * incarnation at its address says nothing about it. */
+static void receive_notice(struct server *server,
+			   const struct upstream_result *result,
+			   const struct http_answer *answer)
+{
+	const struct call_names *names = server->options.names;
+	struct upstream_notice notice;
+	struct error err = ERROR_INIT;
+
+	if (answer->delivery != HTTP_ANSWERED ||
+	    result->gate_feedback == GATE_FAILED ||
+	    (names->wrong_target_status &&
+	     answer->status == names->wrong_target_status))
+		return;
+	if (!notice_read(names, answer, &notice, &err)) {
+		counter_add(&bad_notices, 1);
+		log_warn(component, "notice_refused",
+			 LOG_TEXT("start", server->upstream_id),
+			 LOG_TEXT("reason", err.text));
+		return;
+	}
+	log_notice(server, &notice);
+	server->notice = notice;
+}
+
 /* An upstream that leaves ends after its drain time, whatever it runs. */
 static void watch_for_crash(const struct inbound *inbound,
 			    const struct upstream_result *result,
@@ -341,6 +387,7 @@
 		  took_us, now_us);
 	count_outcome(inbound, &result, answer, took_us);
 	watch_for_crash(inbound, &result, answer);
+	receive_notice(server, &result, answer);
 	log_served(inbound, &result, answer, took_us);
 	record_latency(inbound,
 		       call_outcome_name(end_name(&result.outcome),
--- a/src/call/names.c
+++ b/src/call/names.c
@@ -28,6 +28,8 @@
 	.retry_after_ms = HEADER_RETRY_AFTER_MS,
 	.deadline_status = STATUS_GATEWAY_TIMEOUT,
 	.not_run = HEADER_SHED,
+	.rate_limit = HEADER_RATE_LIMIT,
+	.leaving = HEADER_LEAVING,
 	.not_run_value = "not-run",
 };
 
--- a/src/call/names.h
+++ b/src/call/names.h
@@ -45,6 +45,9 @@
  *	that sent it
  * @load: field of an answer with the load of the upstream as
  *	"running,waiting,slots"
+ * @rate_limit: field of an answer with the number of requests that the upstream
+ *	takes in a second
+ * @leaving: field of an answer of an upstream that stops soon, with the value 1
  * @close_delimited: true if an answer may lack a length and end with its
  *	connection
  * @idle_max_ms: longest idle time of a connection that may carry a request
@@ -78,6 +81,8 @@
 	const char *not_run_value;
 	const char *instance_id;
 	const char *load;
+	const char *rate_limit;
+	const char *leaving;
 	bool close_delimited;
 	int64_t idle_max_ms;
 	const char *upstream_marker;
--- /dev/null
+++ b/src/call/notice_test.c
@@ -0,0 +1,140 @@
+#include "call/notice.h"
+
+#include <criterion/criterion.h>
+#include <string.h>
+
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
+enum { FIELDS_MAX = 3 };
+
+/* A broken text must neither limit an upstream nor be taken for the end of a
+ * limit. */
+Test(notice, fields_of_answers)
+{
+	static const struct {
+		const char *name;
+		struct http_header fields[FIELDS_MAX];
+		bool valid;
+		bool has_rate_limit;
+		double rate_limit_per_s;
+		bool leaving;
+	} cases[] = {
+		{ "none", { { 0 } }, true, false, 0, false },
+		{ "limit",
+		  { { "Server-Limit", "10.6" } },
+		  true,
+		  true,
+		  10.6,
+		  false },
+		{ "other case",
+		  { { "server-limit", "7" } },
+		  true,
+		  true,
+		  7,
+		  false },
+		{ "zero", { { "Server-Limit", "0" } }, true, true, 0, false },
+		{ "leaving",
+		  { { "Server-Leaving", "1" } },
+		  true,
+		  false,
+		  0,
+		  true },
+		{ "both",
+		  { { "Server-Limit", "0.5" }, { "Server-Leaving", "1" } },
+		  true,
+		  true,
+		  0.5,
+		  true },
+		{ "not leaving",
+		  { { "Server-Leaving", "0" } },
+		  true,
+		  false,
+		  0,
+		  false },
+		{ "empty", { { "Server-Limit", "" } }, false, false, 0, false },
+		{ "negative",
+		  { { "Server-Limit", "-1" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "not finite",
+		  { { "Server-Limit", "inf" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "not a number",
+		  { { "Server-Limit", "nan" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "exponent",
+		  { { "Server-Limit", "1e9" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "a unit",
+		  { { "Server-Limit", "10/s" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "two points",
+		  { { "Server-Limit", "1.2.3" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "no digit after the point",
+		  { { "Server-Limit", "1." } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "too long",
+		  { { "Server-Limit", "100000000000000000000000000000000000" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "twice",
+		  { { "Server-Limit", "1" }, { "Server-Limit", "2" } },
+		  false,
+		  false,
+		  0,
+		  false },
+		{ "leaving in words",
+		  { { "Server-Leaving", "yes" } },
+		  false,
+		  false,
+		  0,
+		  false },
+	};
+	const struct call_names *names = call_names(INTERFACE_PLATFORM);
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct http_answer answer = { .headers = cases[i].fields };
+		struct upstream_notice notice;
+		struct error err = ERROR_INIT;
+
+		while (answer.header_count < FIELDS_MAX &&
+		       cases[i].fields[answer.header_count].name)
+			answer.header_count++;
+		cr_expect_eq(notice_read(names, &answer, &notice, &err),
+			     cases[i].valid, "%s", cases[i].name);
+		cr_expect_eq(error_is_set(&err), !cases[i].valid, "%s",
+			     cases[i].name);
+		if (!cases[i].valid)
+			continue;
+		cr_expect_eq(notice.has_rate_limit, cases[i].has_rate_limit,
+			     "%s", cases[i].name);
+		cr_expect_eq(notice.rate_limit_per_s, cases[i].rate_limit_per_s,
+			     "%s", cases[i].name);
+		cr_expect_eq(notice.leaving, cases[i].leaving, "%s",
+			     cases[i].name);
+	}
+}
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -404,8 +404,10 @@
 	if (!address)
 		return;
 	if (strcmp(server->upstream_id, id) ||
-	    !address_equal(&server->upstream, address))
+	    !address_equal(&server->upstream, address)) {
 		crash_watch_set_upstream(&server->crash_watch, address);
+		memset(&server->notice, 0, sizeof(server->notice));
+	}
 	server->upstream = *address;
 	address_format(address, server->upstream_text);
 	strncpy(server->service, service, sizeof(server->service) - 1);
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -6,6 +6,7 @@
 #include "call/crash_watch.h"
 #include "call/link.h"
 #include "call/names.h"
+#include "call/notice.h"
 #include "call/recent.h"
 #include "gate/gate.h"
 #include "http/client.h"
@@ -102,6 +103,7 @@
 	struct inbound *inbound_attempts;
 	uint32_t inbound_count;
 	struct crash_watch crash_watch;
+	struct upstream_notice notice; /* the last one of the upstream */
 	double error_rate; /* fraction of 5xx among recent answers */
 	struct request_stats request_stats; /* of the present incarnation */
 	int64_t warm_from_us; /* statistics count times from then on */
