functional: upstreams that name a limit in their answers

An upstream in need that names how many requests a second it takes gets as many as before. The stand-in plays it: a limit as any text, that comes and goes, and the peak of arrivals as the rule counts them. The stand-in can also tell in its answers that it leaves.

--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -24,7 +24,12 @@
  * microseconds after it has begun to run.
  */
 
-enum { UPSTREAM_ID_SIZE = 96, UPSTREAMS_MAX = 64 };
+enum {
+	UPSTREAM_ID_SIZE = 96,
+	UPSTREAMS_MAX = 64,
+	UPSTREAM_NOTICE_SIZE = 40,
+	UPSTREAM_ARRIVALS_MAX = 8192,
+};
 
 /**
  * struct upstream_faults - faults
@@ -37,6 +42,8 @@
  * @shed: if not 0, each request gets a 503 with a header that proves that it
  *	did not run
  * @shed_plain: if not 0, each request gets a 503 without that header
+ * @rate_limit: text that answers name as limit; empty for none
+ * @leaving: if not 0, answers say that the upstream leaves
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
  */
@@ -49,6 +56,8 @@
 	double slow;
 	int shed;
 	int shed_plain;
+	char rate_limit[UPSTREAM_NOTICE_SIZE];
+	int leaving;
 	double load;
 };
 
@@ -85,6 +94,26 @@
 
 struct upstream_job;
 
+/**
+ * struct upstream_arrivals - arrivals while a limit is named, or after leaving
+ * @limit_named_us: time of the first answer that named the present limit; 0
+ *	before
+ * @at_us: times of the latest arrivals, as a ring
+ * @count: number of arrivals written to @at_us
+ * @limit_peak: most arrivals in some LIMIT_WINDOW_US, LIMIT_LEARN_US after
+ *	@limit_named_us and later
+ * @leaving_told_us: time of the first answer that told the leaving; 0 before
+ * @after_leaving: number of arrivals LEAVING_LEARN_US after that and later
+ */
+struct upstream_arrivals {
+	int64_t limit_named_us;
+	int64_t at_us[UPSTREAM_ARRIVALS_MAX];
+	uint32_t count;
+	uint32_t limit_peak;
+	int64_t leaving_told_us;
+	uint32_t after_leaving;
+};
+
 /**
  * struct upstream_run - number of runs of an id
  * @id: X-Request-Id; empty for all requests without an id
@@ -118,6 +147,7 @@
  * @shed: number of requests refused with 503
  * @started_us: time of the start, monotonic clock
  * @leaving_us: time at which the upstream began to leave; 0 before
+ * @arrivals: arrivals that a limit or the leaving should have prevented
  * @last_arrival_us: time at which the latest request arrived
  * @reported_load: load that was reported last
  * @reported_load_us: time at which @reported_load was computed; 0 for never
@@ -140,6 +170,7 @@
 	uint64_t shed;
 	int64_t started_us;
 	int64_t leaving_us;
+	struct upstream_arrivals arrivals;
 	int64_t last_arrival_us;
 	double reported_load;
 	int64_t reported_load_us;
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -17,6 +17,12 @@
 	STATUS_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
 	CUT_BYTES = 64,
+	NOTICE_HEADERS_MAX = 4,
+	ANSWER_HEADERS_MAX = 4 + NOTICE_HEADERS_MAX,
+	/* The rules of the target platform. */
+	LIMIT_LEARN_US = 3000 * US_PER_MS,
+	LIMIT_WINDOW_US = 4000 * US_PER_MS,
+	LEAVING_LEARN_US = 2000 * US_PER_MS,
 };
 
 /* One request, from its arrival to its answer. */
@@ -72,16 +78,70 @@
 	free(job);
 }
 
+/* Counts an arrival; called before the answer that names a limit. */
+static void count_arrival(struct upstream *upstream, int64_t now_us)
+{
+	struct upstream_arrivals *arrivals = &upstream->arrivals;
+	uint32_t in_window = 0;
+	uint32_t i;
+
+	if (arrivals->leaving_told_us &&
+	    now_us >= arrivals->leaving_told_us + LEAVING_LEARN_US)
+		arrivals->after_leaving++;
+	if (!arrivals->limit_named_us ||
+	    now_us < arrivals->limit_named_us + LIMIT_LEARN_US)
+		return;
+	arrivals->at_us[arrivals->count++ % UPSTREAM_ARRIVALS_MAX] = now_us;
+	for (i = 1; i <= arrivals->count && i <= UPSTREAM_ARRIVALS_MAX; i++)
+		in_window += arrivals->at_us[(arrivals->count - i) %
+					     UPSTREAM_ARRIVALS_MAX] >
+			     now_us - LIMIT_WINDOW_US;
+	if (in_window > arrivals->limit_peak)
+		arrivals->limit_peak = in_window;
+}
+
+/* Adds what the upstream says of itself, under the names of both interfaces. */
+static size_t add_notices(struct upstream *upstream,
+			  struct http_header *headers)
+{
+	const struct upstream_faults *faults = &upstream->faults;
+	struct upstream_arrivals *arrivals = &upstream->arrivals;
+	int64_t now_us = clock_monotonic_us();
+	size_t count = 0;
+
+	if (faults->rate_limit[0]) {
+		headers[count++] =
+			(struct http_header){ "Geraniumplank-Rate-Limit",
+					      faults->rate_limit };
+		headers[count++] = (struct http_header){ "Server-Limit",
+							 faults->rate_limit };
+		if (!arrivals->limit_named_us)
+			arrivals->limit_named_us = now_us;
+	}
+	if (faults->leaving) {
+		headers[count++] =
+			(struct http_header){ "Geraniumplank-Leaving", "1" };
+		headers[count++] =
+			(struct http_header){ "Server-Leaving", "1" };
+		if (!arrivals->leaving_told_us)
+			arrivals->leaving_told_us = now_us;
+	}
+	return count;
+}
+
 static void reply_to_job(struct upstream_job *job)
 {
-	const struct http_header headers[] = {
+	struct http_header headers[ANSWER_HEADERS_MAX] = {
 		{ "Content-Type", "text/plain" },
 		{ "X-Request-Id", job->id },
 		{ "X-Instance", job->upstream->options.instance },
 		/* Upstreams of the target platform mark what they ran. */
 		{ "X-Response-Stamp", job->id },
 	};
-	const size_t count = sizeof(headers) / sizeof(headers[0]);
+	const size_t count =
+		ANSWER_HEADERS_MAX - NOTICE_HEADERS_MAX +
+		add_notices(job->upstream,
+			    &headers[ANSWER_HEADERS_MAX - NOTICE_HEADERS_MAX]);
 	int64_t size =
 		query_number(job->exchange, "bytes", (int64_t)strlen(job->id));
 	char *body;
@@ -190,10 +250,14 @@
 static void shed(struct upstream *upstream, struct http_exchange *exchange,
 		 bool proof)
 {
-	const struct http_header header = { "Geraniumplank-Shed", "not-run" };
+	struct http_header headers[ANSWER_HEADERS_MAX] = {
+		{ "Geraniumplank-Shed", "not-run" }
+	};
+	size_t count = proof;
 
 	upstream->shed++;
-	http_exchange_reply(exchange, STATUS_UNAVAILABLE, &header, proof, "",
+	count += add_notices(upstream, &headers[count]);
+	http_exchange_reply(exchange, STATUS_UNAVAILABLE, headers, count, "",
 			    0);
 }
 
@@ -221,6 +285,7 @@
 	struct upstream_job *job;
 
 	upstream->last_arrival_us = loop_now_us(upstream->loop);
+	count_arrival(upstream, clock_monotonic_us());
 	if (refuse(upstream, exchange))
 		return;
 	job = calloc(1, sizeof(*job));
@@ -263,6 +328,10 @@
 		(json_int_t)upstream->waiting_count, "new_work_after_ms",
 		(json_int_t)(after_us / US_PER_MS));
 
+	json_object_set_new(stats, "limit_peak",
+			    json_integer(upstream->arrivals.limit_peak));
+	json_object_set_new(stats, "after_leaving",
+			    json_integer(upstream->arrivals.after_leaving));
 	if (list)
 		json_object_set_new(stats, "runs", list_runs(upstream));
 	return stats;
@@ -293,6 +362,7 @@
 		{ "slow", NULL, &faults->slow },
 		{ "shed", &faults->shed, NULL },
 		{ "shed_plain", &faults->shed_plain, NULL },
+		{ "leaving", &faults->leaving, NULL },
 		{ "load", NULL, &faults->load },
 	};
 	size_t i;
@@ -309,6 +379,20 @@
 	}
 }
 
+static void read_rate_limit(struct upstream *upstream, const json_t *body)
+{
+	const char *text =
+		json_string_value(json_object_get(body, "rate_limit"));
+
+	if (!text)
+		return;
+	snprintf(upstream->faults.rate_limit,
+		 sizeof(upstream->faults.rate_limit), "%s", text);
+	upstream->arrivals.limit_named_us = 0;
+	upstream->arrivals.limit_peak = 0;
+	upstream->arrivals.count = 0;
+}
+
 static void set_faults(struct upstream *upstream,
 		       struct http_exchange *exchange)
 {
@@ -317,6 +401,7 @@
 	json_t *body = json_loadb((const char *)bytes, size, 0, NULL);
 
 	read_faults(upstream, body);
+	read_rate_limit(upstream, body);
 	json_decref(body);
 	reply_json(exchange, json_object());
 }
