--- a/test/functional/target_test.c
+++ b/test/functional/target_test.c
@@ -320,6 +320,61 @@
 	cr_expect_eq(call(0), 503);
 }
 
+static int64_t arrivals_after_leaving(void)
+{
+	struct fetch fetch = { .method = "GET" };
+	int64_t value = -1;
+	json_t *json;
+
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s/standin/stats",
+		 target.upstream_address);
+	if (fetch_run(&fetch)) {
+		json = json_loads(fetch.answer, 0, NULL);
+		value = json_integer_value(
+			json_object_get(json, "after_leaving"));
+		json_decref(json);
+	}
+	fetch_finish(&fetch);
+	return value;
+}
+
+/* Sends heartbeats and calls through the node of the caller for a while. */
+static void call_for(int64_t time_ms, const char *state)
+{
+	int64_t until_us = clock_monotonic_us() + time_ms * US_PER_MS;
+
+	while (clock_monotonic_us() < until_us) {
+		send_heartbeat(0, "i-1", state);
+		call(1);
+		sleep_ms(POLL_MS);
+	}
+}
+
+/* Guards against a node beside an upstream that forgets with a restart what
+ * the upstream has told: the node of the caller has to remember it. */
+Test(target, a_told_leaving_outlasts_the_node_beside_the_upstream,
+     .init = start, .fini = stop, .timeout = 120)
+{
+	write_document(7, "huvo");
+	assert_version_on_all(7);
+	cr_expect(call_until(1, 200, "ready"));
+	cr_assert_eq(post(target.upstream_address, "/standin/faults",
+			  "{\"leaving\":true}"),
+		     200);
+	call_for(2500, "ready");
+	cr_expect_eq(arrivals_after_leaving(), 0);
+	process_kill(&target.nodes[0].process);
+	start_node(0);
+	call_for(2500, "ready");
+	cr_expect_eq(arrivals_after_leaving(), 0);
+	/* The next incarnation has told nothing. */
+	cr_assert_eq(post(target.upstream_address, "/standin/faults",
+			  "{\"leaving\":false}"),
+		     200);
+	cr_expect_eq(send_heartbeat(0, "i-2", "ready"), 200);
+	cr_expect(call_until(1, 200, NULL));
+}
+
 /* Guards against an overload of the store when all nodes start at once: a node
  * without peers reads a possibly stale directory first, which costs less. */
 Test(target, a_start_reads_an_old_directory_first, .init = start, .fini = stop,
