call: send nothing new to an upstream that tells its leaving in answers

An upstream that says in its answers that it leaves, while its heartbeats still say that it serves, got new requests until it was gone.

Cause: as with the limit, the field was passed on and not read; and leaving was known by heartbeats alone. Class: what an upstream says of itself has two ways to us, and one of them ended at the caller.

The node beside the upstream closes its gate with the first such answer, as for a heartbeat that says so, tells its peers and publishes it. Later heartbeats of that incarnation do not undo it. That node may restart and forget: each node that passes such an answer on remembers the incarnation, by a hash of its id and start time that answers and records carry, and never chooses it again, also after records that say that it serves, and after its node was removed and has come back. The own interface has no ids of incarnations; there the node beside remembers alone. Switch: call.heed_leaving.

--- a/src/call/announce.c
+++ b/src/call/announce.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/counter.h"
 #include "base/log.h"
 #include "os/clock.h"
@@ -165,8 +167,9 @@
 	return !strcmp(a->service, b->service) &&
 	       !strcmp(a->profile, b->profile) &&
 	       address_equal(&a->address, &b->address) &&
-	       !strcmp(a->id, b->id) && !strcmp(a->version, b->version) &&
-	       a->slots == b->slots && a->state == b->state;
+	       !strcmp(a->id, b->id) && a->start == b->start &&
+	       !strcmp(a->version, b->version) && a->slots == b->slots &&
+	       a->state == b->state;
 }
 
 static void remove_upstream(struct announce *announce)
@@ -174,6 +177,7 @@
 	if (!announce->present)
 		return;
 	announce->present = false;
+	announce->told_leaving = false;
 	timer_cancel(announce->options.loop, &announce->expiry);
 	announce->options.changed(NULL, announce->options.data);
 }
@@ -244,6 +248,10 @@
 		reply_error(exchange, STATUS_INVALID, err.text);
 		return;
 	}
+	if (!address_equal(&announcement.address, &announce->current.address))
+		announce->told_leaving = false;
+	if (announce->told_leaving)
+		announcement.state = UPSTREAM_LEAVING;
 	set_announcement(announce, &announcement);
 	reply_json(exchange, STATUS_OK, announce_dump(announce));
 }
@@ -260,9 +268,19 @@
 	set_announcement(announce, &upstream);
 }
 
+/* Returns a hash of the id and the start time: an upstream may start again
+ * under the id that it had. */
+static uint64_t start_of(const struct incarnation *incarnation)
+{
+	uint64_t seed = (uint64_t)incarnation->start_time_ms;
+
+	return XXH64(incarnation->id, strlen(incarnation->id), seed);
+}
+
 void announce_receive(struct announce *announce,
 		      const struct announce_message *message)
 {
+	struct announcement upstream = message->upstream;
 	const struct incarnation_message incarnation = {
 		.id = message->upstream.id,
 		.start_time_ms = message->start_time_ms,
@@ -279,10 +297,27 @@
 	 * even if both have the same id and address. */
 	if (change_count != announce->incarnations.change_count)
 		remove_upstream(announce);
+	upstream.start = start_of(&announce->incarnations.present);
 	if (message->is_deregistration)
 		apply_deregistration(announce);
 	else
-		set_announcement(announce, &message->upstream);
+		set_announcement(announce, &upstream);
+}
+
+void announce_leaving(struct announce *announce)
+{
+	struct announce_message message = { .leaving = true,
+					    .is_deregistration = true };
+
+	if (!announce->present)
+		return;
+	if (*announce->current.id) {
+		message.upstream = announce->current;
+		announce_receive(announce, &message);
+		return;
+	}
+	announce->told_leaving = true;
+	apply_deregistration(announce);
 }
 
 /* Answers after the message has taken effect: once a leaving upstream has the
--- a/src/call/announce.h
+++ b/src/call/announce.h
@@ -34,6 +34,7 @@
  *	outdated or wrong
  * @id: id of the current incarnation of the upstream; "" if the interface has
  *	no such ids
+ * @start: identifies the incarnation at all nodes; 0 if the interface has no ids
  * @version: version of the upstream's software; "" if not reported
  * @cold_ms: remaining cold start time, in milliseconds, in which the upstream
  *	is slower than later
@@ -46,6 +47,7 @@
 	enum upstream_state state;
 	double load;
 	char id[UPSTREAM_ID_SIZE];
+	uint64_t start;
 	char version[UPSTREAM_VERSION_SIZE];
 	int64_t cold_ms;
 };
@@ -95,6 +97,8 @@
  * @current: the newest announcement; valid if @present
  * @incarnations: known incarnations of the upstream
  * @present: true if an upstream is listed
+ * @told_leaving: true if the listed upstream, which has no id, has said in an
+ *	answer that it leaves
  * @expiry: removes the announcement after its time to live
  */
 struct announce {
@@ -102,6 +106,7 @@
 	struct announcement current;
 	struct incarnations incarnations;
 	bool present;
+	bool told_leaving;
 	struct timer expiry;
 };
 
@@ -127,6 +132,13 @@
  */
 void announce_confirm_id(struct announce *announce, const char *id);
 
+/**
+ * announce_leaving() - the upstream has said in an answer that it leaves
+ *
+ * Its later announcements do not undo that.
+ */
+void announce_leaving(struct announce *announce);
+
 /**
  * announce_receive() - process a message of the upstream
  *
--- a/src/call/answer_stream.c
+++ b/src/call/answer_stream.c
@@ -54,6 +54,7 @@
 		.answer = { .status = stored->status,
 			    .service_us = stored->service_us,
 			    .error_rate = stored->error_rate,
+			    .leaving_start = stored->leaving_start,
 			    .load = gate_load(server->options.gate),
 			    .usable_share =
 				    gate_usable_share(server->options.gate),
--- a/src/call/assembly.c
+++ b/src/call/assembly.c
@@ -23,6 +23,7 @@
 	assembly->body_size = answer->body_size;
 	assembly->load = answer->load;
 	assembly->usable_share = answer->usable_share;
+	assembly->leaving_start = answer->leaving_start;
 	buffer_append(&assembly->headers, answer->headers.data,
 		      answer->headers.size);
 	return append_part(assembly, &answer->part);
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -36,6 +36,7 @@
 		.connect_timeout_ms = CONNECT_TIMEOUT_MS,
 		.deadline_max_ms = CALL_DEADLINE_MAX_MS,
 		.keep_rate_limit = true,
+		.heed_leaving = true,
 		.ask_back = true,
 		.retry_errors = true,
 		.seek_room = true,
@@ -147,6 +148,7 @@
 		.names = call_names(options->form),
 		.quarantine = options->quarantine,
 		.keep_rate_limit = options->keep_rate_limit,
+		.heed_leaving = options->heed_leaving,
 		.limits = memory_limits(options),
 		.connect_timeout_ms = options->connect_timeout_ms,
 		.held_bytes_max = options->held_bytes_max,
@@ -255,9 +257,10 @@
 }
 
 void calls_set_upstream(struct calls *calls, const char *service,
-			const char *id, const struct address *address)
+			const char *id, uint64_t start,
+			const struct address *address)
 {
-	serve_set_upstream(&calls->server, service, id, address);
+	serve_set_upstream(&calls->server, service, id, start, address);
 }
 
 const struct request_stats *calls_request_stats(struct calls *calls)
--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -20,6 +20,7 @@
  * struct calls_options - options of both sides
  * @quarantine: see struct serve_options
  * @keep_rate_limit: see struct serve_options
+ * @heed_leaving: see struct serve_options
  * @callers: HTTP server of the callers; a drain waits for its answers and then
  *	closes its connections; may be NULL
  * @form: interface towards callers and the upstream
@@ -49,6 +50,7 @@
 	struct http_client *client;
 	struct quarantine_net *quarantine;
 	bool keep_rate_limit;
+	bool heed_leaving;
 	struct http_server *callers;
 	enum interface_form form;
 	const char *service;
@@ -103,13 +105,15 @@
  * calls_set_upstream() - set the upstream beside this node
  * @service: name of its service
  * @id: identifier of its incarnation; "" if the upstream has none
+ * @start: see struct announcement
  * @address: address of its HTTP server; NULL without an upstream
  *
  * The owner opens and closes the gate, and calls calls_gate_changed() after
  * that.
  */
 void calls_set_upstream(struct calls *calls, const char *service,
-			const char *id, const struct address *address);
+			const char *id, uint64_t start,
+			const struct address *address);
 
 /** calls_request_stats() - see serve_request_stats(). */
 const struct request_stats *calls_request_stats(struct calls *calls);
--- a/src/call/deadline_test.c
+++ b/src/call/deadline_test.c
@@ -159,7 +159,7 @@
 	set_up(false);
 	full_listener(&full);
 	path.b.calls.server.options.connect_timeout_ms = 60 * 1000;
-	calls_set_upstream(&path.b.calls, "seal-desk", "", &full);
+	calls_set_upstream(&path.b.calls, "seal-desk", "", 0, &full);
 	result = path_send(&request);
 	path_wait(&path.b.gate.running_count, 1, "admitted");
 	inbound = path.b.calls.server.inbound_attempts;
--- a/src/call/frames.c
+++ b/src/call/frames.c
@@ -7,7 +7,7 @@
 	MILLI_VALUE_MAX = 1000 * MILLI,
 	BODY_MAX_BYTES = 1 << 30,
 	REQUEST_FIELDS = 17,
-	ANSWER_FIELDS = 8,
+	ANSWER_FIELDS = 9,
 	REFUSAL_FIELDS = 5,
 	PART_FIELDS = 2,
 };
@@ -216,6 +216,7 @@
 	encode_uint(encoder, answer->service_us);
 	encode_milli(encoder, answer->error_rate);
 	encode_milli(encoder, answer->usable_share);
+	encode_uint(encoder, answer->leaving_start);
 }
 
 static bool decode_answer(const msgpack_object *f, struct call_answer *answer,
@@ -234,7 +235,10 @@
 	       decode_uint32(&f[5], UINT32_MAX, &answer->service_us,
 			     "service time", err) &&
 	       decode_share(&f[6], &answer->error_rate, "error rate", err) &&
-	       decode_share(&f[7], &answer->usable_share, "usable share", err);
+	       decode_share(&f[7], &answer->usable_share, "usable share",
+			    err) &&
+	       decode_uint(&f[8], UINT64_MAX, &answer->leaving_start,
+			   "start of the upstream", err);
 }
 
 static bool decode_part(const msgpack_object *f, struct call_part *part,
--- a/src/call/frames.h
+++ b/src/call/frames.h
@@ -76,7 +76,9 @@
  * @error_rate: fraction of 5xx among the recent answers of the upstream
  * @load: load of the gate beside the upstream
  * @usable_share: share of the slots that the rate limit of the upstream can
- *keep busy; 1 without a limit
+ *	keep busy; 1 without a limit
+ * @leaving_start: incarnation of the upstream, see struct record, if the answer
+ *	says that it leaves; otherwise 0
  * @headers: "name\0value\0" for each field
  * @body_size: size of the complete body, in bytes
  * @part: first part of the body; empty only if the body is empty
@@ -87,6 +89,7 @@
 	double error_rate;
 	double load;
 	double usable_share;
+	uint64_t leaving_start;
 	struct call_bytes headers;
 	uint64_t body_size;
 	struct call_bytes part;
--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -374,8 +374,11 @@
 			 LOG_TEXT("reason", err.text));
 		return;
 	}
-	log_notice(server, &notice);
 	apply_rate_limit(inbound, &notice);
+	/* An upstream that leaves does not come back in this incarnation. */
+	notice.leaving &= server->options.heed_leaving;
+	notice.leaving |= server->notice.leaving;
+	log_notice(server, &notice);
 	server->notice = notice;
 }
 
@@ -424,8 +427,13 @@
 					       !strcmp(inbound->method, "HEAD"),
 					       took_us, &stored_bytes);
 		stored->error_rate = server->error_rate;
+		if (server->notice.leaving)
+			stored->leaving_start = server->upstream_start;
 	}
 	inbound_end(inbound, &result.outcome, stored, stored_bytes);
+	if (server->notice.leaving && server->options.callbacks.on_leaving)
+		server->options.callbacks.on_leaving(
+			server->options.callbacks.data);
 	run_callbacks(server, answer);
 	inbound_run_gate(server);
 }
--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -69,12 +69,14 @@
  * struct stored_answer - answer stored in the record of recent attempts
  * @service_us: time that the upstream took, in microseconds
  * @error_rate: fraction of 5xx among the recent answers of the upstream
+ * @leaving_start: see struct call_answer
  * @bytes: header fields, followed by the body
  */
 struct stored_answer {
 	uint32_t status;
 	uint32_t service_us;
 	double error_rate;
+	uint64_t leaving_start;
 	size_t headers_bytes;
 	size_t body_bytes;
 	uint8_t bytes[];
--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -328,6 +328,9 @@
 			      &report);
 	endpoint_set_usable_share(call->endpoint, call->answer.usable_share,
 				  now(call->caller));
+	if (call->answer.leaving_start)
+		router_set_leaving(call->caller->options.router,
+				   call->answer.leaving_start);
 }
 
 static void reply(struct call *call)
--- a/src/call/outbound_call.h
+++ b/src/call/outbound_call.h
@@ -22,6 +22,7 @@
  * @body_size: bytes of the complete body
  * @load: load reported with the answer
  * @usable_share: see struct call_answer
+ * @leaving_start: see struct call_answer
  * @headers: header fields received
  * @body: bytes of the body received so far
  *
@@ -36,6 +37,7 @@
 	uint64_t body_size;
 	double load;
 	double usable_share;
+	uint64_t leaving_start;
 	struct buffer headers;
 	struct buffer body;
 };
--- a/src/call/path_test.c
+++ b/src/call/path_test.c
@@ -109,7 +109,7 @@
 static void open_gate(struct path_node *node)
 {
 	gate_set_state(&node->gate, GATE_OPEN, loop_now_us(&path.loop));
-	calls_set_upstream(&node->calls, "seal-desk", "",
+	calls_set_upstream(&node->calls, "seal-desk", "", 0,
 			   &path.upstream.address);
 }
 
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -396,7 +396,8 @@
 }
 
 void serve_set_upstream(struct server *server, const char *service,
-			const char *id, const struct address *address)
+			const char *id, uint64_t start,
+			const struct address *address)
 {
 	server->has_upstream = address != NULL;
 	if (!address || strcmp(server->upstream_id, id) != 0)
@@ -410,6 +411,7 @@
 		gate_clear_rate_limit(server->options.gate);
 	}
 	server->upstream = *address;
+	server->upstream_start = start;
 	address_format(address, server->upstream_text);
 	strncpy(server->service, service, sizeof(server->service) - 1);
 	snprintf(server->upstream_id, sizeof(server->upstream_id), "%s", id);
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -30,10 +30,13 @@
  * @on_incarnation_changed: called when an incarnation other than the announced
  *	one answers at the address; @id is the ID of the answering incarnation;
  *	may be NULL
+ * @on_leaving: called when an answer of the upstream says that it leaves; may
+ *	be NULL
  */
 struct serve_callbacks {
 	void (*on_unreachable)(void *data);
 	void (*on_incarnation_changed)(const char *id, void *data);
+	void (*on_leaving)(void *data);
 	void *data;
 };
 
@@ -43,6 +46,7 @@
  * @limits: limits of the record of recent attempts
  * @quarantine: findings on requests that crash upstreams; may be NULL
  * @keep_rate_limit: setting gate.keep_rate_limit
+ * @heed_leaving: setting call.heed_leaving
  * @held_bytes_max: largest total size of the request bodies held, in bytes
  * @body_bytes_max: largest size of one request body, in bytes
  * @answer_bytes_max: largest size of one answer, in bytes
@@ -66,6 +70,7 @@
 	const struct call_names *names;
 	struct quarantine_net *quarantine;
 	bool keep_rate_limit;
+	bool heed_leaving;
 	struct recent_limits limits;
 	size_t held_bytes_max;
 	size_t body_bytes_max;
@@ -99,6 +104,7 @@
 	char service[SERVICE_NAME_SIZE];
 	char upstream_text[ADDRESS_TEXT_SIZE];
 	char upstream_id[UPSTREAM_ID_SIZE];
+	uint64_t upstream_start; /* see struct announcement */
 	struct serve_peer *peers;
 	struct serve_peer local;
 	struct link_pipe to_caller; /* answers to calls of this node */
@@ -145,10 +151,12 @@
 /**
  * serve_set_upstream() - sets the upstream beside this node
  * @id: ID of the present incarnation; "" if it has none
+ * @start: see struct announcement
  * @address: HTTP address of the upstream; NULL if there is no upstream
  */
 void serve_set_upstream(struct server *server, const char *service,
-			const char *id, const struct address *address);
+			const char *id, uint64_t start,
+			const struct address *address);
 
 /** serve_gate_changed() - applies a change of the gate's state or limit. */
 void serve_gate_changed(struct server *server);
--- a/src/membership/members.c
+++ b/src/membership/members.c
@@ -183,6 +183,7 @@
 	return strcmp(record->service, own->service) ||
 	       strcmp(record->profile, own->profile) ||
 	       strcmp(record->version, own->version) ||
+	       record->upstream_start != own->upstream_start ||
 	       record->state != own->state || record->slots != own->slots;
 }
 
@@ -201,6 +202,7 @@
 	memcpy(record->profile, own->profile, sizeof(record->profile));
 	memcpy(record->version, own->version, sizeof(record->version));
 	record->state = own->state;
+	record->upstream_start = own->upstream_start;
 	record->slots = own->slots;
 	members_raise_sequence(members);
 }
--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -690,6 +690,7 @@
  * @profile: profile of the upstream
  * @state: whether the upstream accepts calls
  * @version: version of the software that the upstream runs; may be ""
+ * @upstream_start: see struct record
  * @slots: number of requests that the upstream runs at once
  * @serving_age_ms: how long the upstream has been serving, in milliseconds
  */
@@ -698,6 +699,7 @@
 	char profile[PROFILE_NAME_SIZE];
 	enum upstream_state state;
 	char version[UPSTREAM_VERSION_SIZE];
+	uint64_t upstream_start;
 	uint32_t slots;
 	int64_t serving_age_ms;
 };
--- a/src/membership/packet.c
+++ b/src/membership/packet.c
@@ -4,10 +4,10 @@
 #include <xxhash.h>
 
 enum {
-	RECORD_FIELDS = 15,
+	RECORD_FIELDS = 16,
 	MARK_FIELDS = 6,
 	CENTRE_FIELDS = 4,
-	RECORD_FIXED_BYTES = 96, /* at most, without the texts */
+	RECORD_FIXED_BYTES = 105, /* at most, without the texts */
 	SUMMARY_FIELDS = 5,
 	STATES = UPSTREAM_GONE,
 	SLOTS_MAX = 1000000,
@@ -124,6 +124,7 @@
 	encode_int(encoder, record->serving_age_ms);
 	encode_uint(encoder, record->fitness);
 	encode_text(encoder, record->version);
+	encode_uint(encoder, record->upstream_start);
 }
 
 static bool decode_status(const msgpack_object *object,
@@ -163,7 +164,9 @@
 	    !decode_int(&f[12], &record->serving_age_ms, "age", err) ||
 	    !decode_uint(&f[13], FITNESS_MAX, &fitness, "fitness", err) ||
 	    !decode_text(&f[14], record->version, UPSTREAM_VERSION_SIZE,
-			 "version", err))
+			 "version", err) ||
+	    !decode_uint(&f[15], UINT64_MAX, &record->upstream_start,
+			 "start of the upstream", err))
 		return false;
 	record->fitness = (uint8_t)fitness;
 	record->state = (enum upstream_state)state;
--- a/src/membership/record.h
+++ b/src/membership/record.h
@@ -40,6 +40,8 @@
  *	with each change
  * @state: whether the upstream accepts calls
  * @version: version of the software that the upstream runs; may be ""
+ * @upstream_start: identifies the incarnation of the upstream; 0 if the
+ *	interface to the upstream has no ids of incarnations
  * @slots: number of requests that the upstream runs at once
  * @fitness: suitability for duties of the data centre, 0 to FITNESS_MAX; nodes
  *	with a higher value are chosen first
@@ -56,6 +58,7 @@
 	uint64_t sequence;
 	enum upstream_state state;
 	char version[UPSTREAM_VERSION_SIZE];
+	uint64_t upstream_start;
 	uint32_t slots;
 	uint8_t fitness;
 	int64_t serving_age_ms;
--- a/src/node/callbacks.c
+++ b/src/node/callbacks.c
@@ -147,6 +147,7 @@
 		memcpy(own.service, current->service, sizeof(own.service));
 		memcpy(own.profile, current->profile, sizeof(own.profile));
 		memcpy(own.version, current->version, sizeof(own.version));
+		own.upstream_start = current->start;
 		own.slots = current->slots;
 		own.state = state == GATE_LEAVING ? UPSTREAM_LEAVING
 						  : current->state;
@@ -177,6 +178,7 @@
 	set_cold_start(node);
 	calls_set_upstream(&node->calls, current ? current->service : "",
 			   current ? current->id : "",
+			   current ? current->start : 0,
 			   current ? &current->address : NULL);
 	calls_gate_changed(&node->calls);
 	if (state == GATE_LEAVING)
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -174,6 +174,13 @@
 	announce_confirm_id(&node->announce, id);
 }
 
+static void upstream_leaving(void *data)
+{
+	struct node *node = data;
+
+	announce_leaving(&node->announce);
+}
+
 static void peer_silent(const struct record *record, void *data)
 {
 	struct node *node = data;
@@ -235,6 +242,7 @@
 	options.client = &node->client;
 	options.quarantine = &node->quarantine;
 	options.keep_rate_limit = settings->gate.keep_rate_limit;
+	options.heed_leaving = from->heed_leaving;
 	options.callers = &node->callers;
 	options.form = settings->node.form;
 	options.service = settings->node.service;
@@ -255,6 +263,7 @@
 	options.outcome_max_bytes = (size_t)from->outcome_max_bytes;
 	options.callbacks.on_unreachable = upstream_unreachable;
 	options.callbacks.on_incarnation_changed = upstream_incarnation_changed;
+	options.callbacks.on_leaving = upstream_leaving;
 	options.callbacks.data = node;
 	if (from->accuse)
 		options.on_peer_silent = peer_silent;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -212,6 +212,8 @@
  *	after two consecutive calls without any answer
  * @avoid_errors: true if upstreams with a higher error rate than others of
  *	their service get fewer requests
+ * @heed_leaving: true if an upstream that says in an answer that it leaves gets
+ *	no new requests
  * @quarantine: true if a request is blocked that has crashed each upstream that
  *	ran it
  * @warm_connections: number of nodes of the local data centre to which
@@ -236,6 +238,7 @@
 	bool accuse;
 	bool doubt_centres;
 	bool avoid_errors;
+	bool heed_leaving;
 	bool quarantine;
 	int64_t warm_connections;
 	int64_t outcome_max;
@@ -251,7 +254,7 @@
  *	service time
  * @trust_slots: true if the announced slots are always the limit
  * @keep_rate_limit: true if no more requests start in a second than the
- *upstream names in its answers
+ *	upstream names in its answers
  * @queue_max: maximum number of requests of all kinds that wait at the gate
  */
 struct settings_gate {
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -181,6 +181,9 @@
 	SWITCH(call.avoid_errors, "avoid_errors", "true",
 	       "Send less to upstreams that answer 5xx more often than others "
 	       "of their service"),
+	SWITCH(call.heed_leaving, "heed_leaving", "true",
+	       "Send nothing new to an upstream that says in an answer that it "
+	       "leaves"),
 	SWITCH(call.quarantine, "quarantine", "true",
 	       "Block requests that crashed each upstream that ran them"),
 	SWITCH(call.ask_back, "ask_back", "true",
--- a/src/route/balance.c
+++ b/src/route/balance.c
@@ -101,7 +101,7 @@
 		   enum level level)
 {
 	if (endpoint->record.state != UPSTREAM_SERVING ||
-	    !split_allows(pick, endpoint))
+	    endpoint->told_leaving || !split_allows(pick, endpoint))
 		return false;
 	if ((pick->untried_only || level < LEVEL_TRIED) &&
 	    was_tried(pick, endpoint))
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -355,6 +355,8 @@
 	bool was_reachable = endpoint->reachable;
 
 	endpoint->reachable = reachable;
+	endpoint->told_leaving =
+		leaving_has(&router->leaving, record->upstream_start);
 	if (stays_in_pool(endpoint, record)) {
 		replace_record(endpoint, record, now_us);
 		if (reachable != was_reachable)
@@ -374,6 +376,18 @@
 	pool_update(router, endpoint->pool);
 }
 
+void router_set_leaving(struct router *router, uint64_t start)
+{
+	struct endpoint *endpoint;
+
+	if (!leaving_add(&router->leaving, start))
+		return;
+	for (endpoint = router->endpoints; endpoint;
+	     endpoint = endpoint->by_instance.next)
+		endpoint->told_leaving |= endpoint->record.upstream_start ==
+					  start;
+}
+
 void router_set_suspect(struct router *router, const char *instance,
 			bool suspect)
 {
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -11,6 +11,7 @@
 #include "membership/record.h"
 #include "profile/config.h"
 #include "route/hosts.h"
+#include "route/leaving.h"
 #include "route/retry.h"
 
 /**
@@ -51,6 +52,8 @@
  * @reachable: false while membership considers the instance unreachable
  * @suspect: true while some node gets no answer from the instance; the endpoint
  *	is then chosen only if no other is left
+ * @told_leaving: true if the upstream said in an answer that it leaves; the
+ *	endpoint is then not chosen
  * @listed: false after membership has dropped the instance
  * @local: true if the endpoint is in the data centre of the router
  * @remote_centre: data centre of the endpoint; NULL if it is local or if the
@@ -71,7 +74,7 @@
  * @reports_errors: true if @error_rate comes from the node of the endpoint,
  *	which counts the requests of all callers
  * @usable_share: share of its slots that the rate limit of the upstream can
- *keep busy, as last reported
+ *	keep busy, as last reported
  * @usable_share_at_us: time of that report; 0 for never
  * @limited_at_us: time of the last report of a share below 1; 0 for never
  * @avoid_until_us: time before which the endpoint is chosen only if no other
@@ -89,6 +92,7 @@
 	bool split_member;
 	bool reachable;
 	bool suspect;
+	bool told_leaving;
 	bool listed;
 	bool local;
 	struct remote_centre *remote_centre;
@@ -224,6 +228,7 @@
  * @avoid_faulty_endpoints: send fewer requests to an endpoint whose error rate
  *	is well above that of its pool
  * @avoid_unreachable_centres: avoid a data centre whose calls get no answer
+ * @leaving: incarnations of upstreams that said in an answer that they leave
  * @config: version in force, with a reference; NULL before the first one
  * @hosts: host routes of @config
  * @pools: hash table of all pools, by service
@@ -238,6 +243,7 @@
 	char data_centre[NAME_SIZE];
 	bool avoid_faulty_endpoints;
 	bool avoid_unreachable_centres;
+	struct leaving_set leaving;
 	struct config *config;
 	struct host_table hosts;
 	struct pool *pools;
@@ -267,6 +273,14 @@
 void router_set_suspect(struct router *router, const char *instance,
 			bool suspect);
 
+/**
+ * router_set_leaving() - an upstream said in an answer that it leaves
+ * @start: its incarnation, as record.upstream_start; not 0
+ *
+ * Its endpoint is not chosen any more, whatever later records say.
+ */
+void router_set_leaving(struct router *router, uint64_t start);
+
 /** router_drop_record() - removes the endpoint of an instance. */
 void router_drop_record(struct router *router, const char *instance);
 
