gate: refuse at once what a new limit keeps from starting in time

Requests that were queued when an upstream named a limit were held until their deadlines and refused then, with no time left to go elsewhere. The queue is looked through when the limit is new or lower, from the request that would start last. rate/a_queue_that_a_new_limit_cannot_serve_is_refused_at_once: of 30 queued at 10 a second with a second left none was refused before, 19 and more are now. A limit far above any load is bounded, so that it fits the log field.

--- a/src/call/notice.c
+++ b/src/call/notice.c
@@ -7,6 +7,9 @@
 
 enum { VALUE_MAX_SIZE = 32 };
 
+/* A higher limit limits nothing. */
+#define RATE_LIMIT_MAX_PER_S 1e9
+
 /* Returns true if the field occurs once at most; *value is NULL if it does not
  * occur. */
 static bool find_single(const struct http_answer *answer, const char *name,
@@ -56,7 +59,8 @@
 		return false;
 	}
 	notice->has_rate_limit = true;
-	notice->rate_limit_per_s = strtod(value, NULL);
+	notice->rate_limit_per_s =
+		fmin(strtod(value, NULL), RATE_LIMIT_MAX_PER_S);
 	return true;
 }
 
--- a/src/gate/forecast.c
+++ b/src/gate/forecast.c
@@ -358,6 +358,20 @@
 	return free_us + (own_us < all_us ? own_us : all_us) / limit;
 }
 
+/* forecast_wait_us() counts a request that is queued already as one that starts
+ * before itself. */
+double forecast_queued_wait_us(const struct gate *gate,
+			       const struct gate_request *request,
+			       int64_t now_us)
+{
+	const struct gate_class *class = &gate->classes[request->class_index];
+	double own_us =
+		queued_work_us(gate, class, now_us) / gate_limit(gate, now_us);
+	double wait_us = forecast_wait_us(gate, request, now_us) - own_us;
+
+	return wait_us > 0 ? wait_us : 0;
+}
+
 int64_t forecast_retry_after_ms(const struct gate *gate, int64_t now_us)
 {
 	double work_us = waiting_work_us(gate, true, now_us);
--- a/src/gate/forecast.h
+++ b/src/gate/forecast.h
@@ -67,6 +67,15 @@
 double forecast_wait_us(const struct gate *gate,
 			const struct gate_request *request, int64_t now_us);
 
+/**
+ * forecast_queued_wait_us() - Returns the expected wait of a queued request.
+ *
+ * Return: microseconds until the request can start.
+ */
+double forecast_queued_wait_us(const struct gate *gate,
+			       const struct gate_request *request,
+			       int64_t now_us);
+
 /**
  * forecast_retry_after_ms() - Returns a delay after which a retry may succeed.
  *
--- a/src/gate/gate.c
+++ b/src/gate/gate.c
@@ -36,11 +36,6 @@
 	limit_set_slots(&gate->limit, slots);
 }
 
-void gate_set_rate_limit(struct gate *gate, double per_s, int64_t now_us)
-{
-	rate_set(&gate->rate, per_s, now_us);
-}
-
 void gate_clear_rate_limit(struct gate *gate)
 {
 	rate_clear(&gate->rate);
@@ -197,6 +192,44 @@
 	return GATE_REFUSED_NONE;
 }
 
+/* Returns the queued request of a class that starts last. */
+static struct gate_request *last_of(const struct gate_class *class)
+{
+	return class->waiting ? class->waiting->prev : NULL;
+}
+
+/* Refuses queued requests of a class that cannot start in time, beginning with
+ * the one that starts last: each refusal shortens the wait of the others. */
+static void refuse_late(struct gate *gate, struct gate_class *class,
+			int64_t now_us)
+{
+	struct gate_request *request;
+
+	while ((request = last_of(class))) {
+		double start_us =
+			(double)now_us +
+			forecast_queued_wait_us(gate, request, now_us);
+
+		if (start_us <=
+		    (double)forecast_start_by_us(gate, request, now_us))
+			return;
+		scheduler_dequeue(gate, request);
+		request->phase = GATE_WAITING;
+		refuse(gate, request, GATE_REFUSED_LATE, now_us);
+		DL_APPEND(gate->evicted, request);
+	}
+}
+
+void gate_set_rate_limit(struct gate *gate, double per_s, int64_t now_us)
+{
+	bool lower = !gate->rate.limited || per_s < gate->rate.per_s;
+	uint32_t i;
+
+	rate_set(&gate->rate, per_s, now_us);
+	for (i = 0; lower && gate->options.fair && i < gate->class_count; i++)
+		refuse_late(gate, &gate->classes[i], now_us);
+}
+
 static enum gate_refusal
 try_enqueue(struct gate *gate, struct gate_request *request, int64_t now_us)
 {
--- a/src/gate/gate.h
+++ b/src/gate/gate.h
@@ -263,6 +263,9 @@
 /**
  * gate_set_rate_limit() - Sets how many requests may start in a second.
  * @per_s: limit that the upstream names; not negative
+ *
+ * Queued requests that a lower limit keeps from starting in time are refused,
+ * see gate_next_refused().
  */
 void gate_set_rate_limit(struct gate *gate, double per_s, int64_t now_us);
 
--- a/src/gate/rate_test.c
+++ b/src/gate/rate_test.c
@@ -178,6 +178,31 @@
 		      (long long)world.requests[49].retry_after_ms);
 }
 
+/* Callers whose requests are queued when a limit begins would be held for
+ * nothing until their deadlines. */
+Test(rate, a_queue_that_a_new_limit_cannot_serve_is_refused_at_once)
+{
+	int64_t now_us = second_us;
+	uint32_t waiting = 0;
+	uint32_t i;
+
+	init_world();
+	for (i = 0; i < 9; i++)
+		offer(now_us, 1);
+	end_runs(now_us + run_us);
+	now_us += run_us;
+	for (i = 0; i < 39; i++)
+		offer(now_us, 1);
+	cr_assert_eq(world.gate.waiting_count, 30);
+	gate_set_rate_limit(&world.gate, 10, now_us);
+	while (gate_next_refused(&world.gate, now_us))
+		world.refused++;
+	for (i = 0; i < world.offered; i++)
+		waiting += world.requests[i].phase == GATE_WAITING;
+	cr_expect_geq(world.refused, 19, "%u", world.refused);
+	cr_expect_eq(world.refused + waiting, 30);
+}
+
 /* Without a wake-up the queue would stand until the next request arrives. */
 Test(rate, a_waiting_request_starts_when_the_limit_allows)
 {
