quarantine: a loss long before the end of an upstream has another cause

A run that was lost to a reset stayed a suspect as long as no later request was answered, and would have counted as a run beside a crash minutes later. Ten seconds are the limit. The case "it ends long after the loss" counted one before.

--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -36,7 +36,8 @@
 	if (!quarantine || losses->crash_id)
 		return;
 	crash_id = quarantine_net_crash_id(quarantine);
-	if (!losses_confirm(losses, crash_id))
+	if (!losses_confirm(losses, crash_id,
+			    loop_now_us(crash_watch->options.loop)))
 		return;
 	log_warn(component, "upstream_crashed",
 		 LOG_NUMBER("running", losses->count));
--- a/src/quarantine/losses.c
+++ b/src/quarantine/losses.c
@@ -27,11 +27,13 @@
 		losses_reset(losses);
 }
 
-bool losses_confirm(struct losses *losses, uint64_t crash_id)
+bool losses_confirm(struct losses *losses, uint64_t crash_id, int64_t now_us)
 {
 	assert(crash_id);
 	if (losses->crash_id)
 		return false;
 	losses->crash_id = crash_id;
+	if (now_us - losses->last_us > LOSSES_AGE_MAX_US)
+		losses->count = 0;
 	return losses->count > 0;
 }
--- a/src/quarantine/losses.h
+++ b/src/quarantine/losses.h
@@ -15,7 +15,11 @@
  * crashed, or its end is confirmed. No sockets, no clock.
  */
 
-enum { LOSSES_MAX = 128 };
+enum {
+	LOSSES_MAX = 128,
+	/* An end long after a lost run has another cause. */
+	LOSSES_AGE_MAX_US = 10 * 1000 * 1000,
+};
 
 /**
  * struct losses - lost runs of one incarnation of an upstream
@@ -52,8 +56,8 @@
  * losses_confirm() - the upstream has ended
  * @crash_id: id for this crash, not 0
  *
- * Return: true if runs were lost; they are @losses->lost.
+ * Return: true if runs were lost shortly before; they are @losses->lost.
  */
-bool losses_confirm(struct losses *losses, uint64_t crash_id);
+bool losses_confirm(struct losses *losses, uint64_t crash_id, int64_t now_us);
 
 #endif
--- a/src/quarantine/table_test.c
+++ b/src/quarantine/table_test.c
@@ -197,7 +197,15 @@
  * harmless requests. */
 Test(quarantine, a_lost_run_counts_only_if_the_upstream_has_ended)
 {
-	enum event { END, LOSS, OLDER_ANSWER, ANSWER, UPSTREAM_END, RESTART };
+	enum event {
+		END,
+		LOSS,
+		OLDER_ANSWER,
+		ANSWER,
+		MINUTE,
+		UPSTREAM_END,
+		RESTART
+	};
 	static const struct {
 		const char *name;
 		enum event events[EVENTS_MAX];
@@ -217,6 +225,9 @@
 		{ "the next incarnation runs",
 		  { LOSS, UPSTREAM_END, RESTART, LOSS },
 		  1 },
+		{ "it ends long after the loss",
+		  { LOSS, MINUTE, UPSTREAM_END },
+		  0 },
 		{ "it ends without a request", { UPSTREAM_END }, 0 },
 		{ "it ends twice", { LOSS, UPSTREAM_END, UPSTREAM_END }, 1 },
 	};
@@ -243,9 +254,12 @@
 				losses_answered(&losses, now_us);
 				break;
 			case UPSTREAM_END:
-				if (losses_confirm(&losses, 7))
+				if (losses_confirm(&losses, 7, now_us))
 					counted += losses.count;
 				break;
+			case MINUTE:
+				now_us += minute_us;
+				break;
 			case RESTART:
 				losses_reset(&losses);
 				break;
