--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -4,27 +4,20 @@
 
 #include "base/counter.h"
 #include "base/latency.h"
-#include "base/log.h"
 #include "call/content.h"
 #include "call/inbound.h"
 #include "os/clock.h"
 
-static const char component[] = "call";
-
 COUNTER(answered, "call.served_answered",
 	"Calls that the own upstream answered");
 COUNTER(refused, "call.served_refused",
 	"Calls refused beside the upstream, which proves that they did not run");
 COUNTER(unknown, "call.served_unknown",
 	"Calls of which it is not known whether the upstream ran them");
-COUNTER(aborted, "call.broken_off",
-	"Calls ended by this side while the upstream worked on them");
 COUNTER(duplicates, "call.duplicate_frames",
 	"Copies of calls that had been seen before, not run again");
 COUNTER(orphans, "call.orphaned",
 	"Calls whose connection was lost while they were here");
-COUNTER(bad_notices, "call.notices_invalid",
-	"Answers with an unreadable limit or notice of leaving");
 HISTOGRAM(upstream_time, "call.upstream_us",
 	  "Time from the gate to the whole answer of the upstream");
 
@@ -127,13 +120,6 @@
 		answer_stream_start(server, peer, entry);
 }
 
-static const char *end_name(const struct call_outcome *outcome)
-{
-	return outcome->reason == CALL_REASON_NONE
-		       ? CALL_ANSWERED
-		       : call_reason_name(outcome->reason);
-}
-
 static void record_latency(const struct inbound *inbound, const char *outcome,
 			   int64_t upstream_us)
 {
@@ -145,105 +131,6 @@
 	latency_add(LATENCY_UPSTREAM, service, outcome, upstream_us);
 }
 
-/* Returns the time until the deadline. */
-static int64_t deadline_left_ms(const struct inbound *inbound)
-{
-	return (inbound->context.deadline_us - now(inbound->server)) /
-	       US_PER_MS;
-}
-
-static const char *content_text(const struct inbound *inbound,
-				char text[FINGERPRINT_TEXT_SIZE])
-{
-	return fingerprint_text(inbound->fingerprint.content, text);
-}
-
-/* Logs an attempt that was sent to the upstream. */
-static void log_served(const struct inbound *inbound,
-		       const struct upstream_result *result,
-		       const struct http_answer *answer, int64_t took_us)
-{
-	const struct server *server = inbound->server;
-	const struct gate_request *gate = &inbound->gate;
-	bool well = result->answered && answer->status < STATUS_SERVER_ERROR;
-	char content[FINGERPRINT_TEXT_SIZE];
-	const struct log_field fields[] = {
-		LOG_TEXT("request", inbound->context.request_id),
-		LOG_TEXT("from", inbound->peer ? link_name(&inbound->peer->link)
-					       : "lost"),
-		LOG_TEXT("start", server->upstream_id),
-		LOG_TEXT("end", end_name(&result->outcome)),
-		LOG_TEXT("verdict", verdict_name(result->outcome.verdict)),
-		LOG_NUMBER("status", answer->status),
-		LOG_TEXT("text", result->answered ? NULL : answer->err->text),
-		LOG_TEXT("kind", inbound->context.kind),
-		LOG_TEXT("content", content_text(inbound, content)),
-		LOG_NUMBER("queued_ms",
-			   (gate->started_us - gate->arrived_us) / US_PER_MS),
-		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
-		LOG_NUMBER("left_ms", deadline_left_ms(inbound)),
-		LOG_TEXT("connection", answer->reused ? "kept" : "new"),
-		LOG_NUMBER("running", server->options.gate->running_count),
-		LOG_NUMBER("waiting", server->options.gate->waiting_count),
-		LOG_NUMBER("limit",
-			   gate_limit(server->options.gate, now(server))),
-	};
-
-	log_request(well ? LOG_ORDINARY : LOG_ATTEMPT, component, "served",
-		    fields, sizeof(fields) / sizeof(fields[0]));
-}
-
-/* Logs an attempt that this node aborted while the upstream ran it. The reason
- * "deadline" with much time left, or "cancelled" without a caller that hung up
- * and without the end of a drain, shows a fault of this node. */
-static void log_aborted(const struct inbound *inbound,
-			const struct call_outcome *outcome, int64_t took_us)
-{
-	const struct gate_request *gate = &inbound->gate;
-	char content[FINGERPRINT_TEXT_SIZE];
-	const struct log_field fields[] = {
-		LOG_TEXT("request", inbound->context.request_id),
-		LOG_TEXT("start", inbound->server->upstream_id),
-		LOG_TEXT("end", end_name(outcome)),
-		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
-		LOG_TEXT("kind", inbound->context.kind),
-		LOG_TEXT("content", content_text(inbound, content)),
-		LOG_NUMBER("queued_ms",
-			   (gate->started_us - gate->arrived_us) / US_PER_MS),
-		LOG_NUMBER("upstream_ms", took_us / US_PER_MS),
-		LOG_NUMBER("left_ms", deadline_left_ms(inbound)),
-	};
-
-	counter_add(&aborted, 1);
-	log_request(LOG_ATTEMPT, component, "broken_off", fields,
-		    sizeof(fields) / sizeof(fields[0]));
-}
-
-/* Logs an attempt that was not sent to the upstream. */
-static void log_not_run(const struct inbound *inbound,
-			const struct call_outcome *outcome)
-{
-	const struct gate *gate = inbound->server->options.gate;
-	const struct log_field fields[] = {
-		LOG_TEXT("request", inbound->context.request_id),
-		LOG_TEXT("from", inbound->peer ? link_name(&inbound->peer->link)
-					       : "lost"),
-		LOG_TEXT("end", end_name(outcome)),
-		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
-		LOG_TEXT("kind", inbound->context.kind),
-		LOG_NUMBER("back_in_ms", outcome->retry_after_ms),
-		LOG_NUMBER("running", gate->running_count),
-		LOG_NUMBER("waiting", gate->waiting_count),
-		LOG_NUMBER("limit", gate_limit(gate, now(inbound->server))),
-		LOG_NUMBER("due_in_ms",
-			   (inbound->gate.deadline_us - now(inbound->server)) /
-				   US_PER_MS),
-	};
-
-	log_request(LOG_ATTEMPT, component, "turned_away", fields,
-		    sizeof(fields) / sizeof(fields[0]));
-}
-
 void inbound_refuse(struct inbound *inbound, enum call_reason reason)
 {
 	const struct call_outcome outcome = {
@@ -252,39 +139,13 @@
 		.retry_after_ms = (uint32_t)inbound->gate.retry_after_ms,
 	};
 
-	log_not_run(inbound, &outcome);
-	latency_add(LATENCY_QUEUE, inbound->server->service, end_name(&outcome),
+	inbound_log_not_run(inbound, &outcome);
+	latency_add(LATENCY_QUEUE, inbound->server->service,
+		    inbound_end_name(&outcome),
 		    now(inbound->server) - inbound->gate.arrived_us);
 	inbound_end(inbound, &outcome, NULL, 0);
 }
 
-/*
- * Calls the callbacks if the answer shows that the upstream is gone or was
- * replaced. A killed upstream does not report its end, and its address may be
- * reused by another upstream. Without the callbacks each caller's node would
- * detect this only by failed attempts until the announcement expires.
- */
-static void run_callbacks(struct server *server,
-			  const struct http_answer *answer)
-{
-	const struct call_names *names = server->options.names;
-	const struct serve_callbacks *callbacks = &server->options.callbacks;
-	const char *id =
-		names->upstream_marker
-			? http_answer_header(answer, names->upstream_marker)
-			: NULL;
-
-	if (answer->delivery != HTTP_NOT_SENT || answer->timed_out)
-		crash_watch_reached(&server->crash_watch);
-	else
-		crash_watch_refused(&server->crash_watch);
-	if (answer->delivery == HTTP_ANSWERED && names->wrong_target_status &&
-	    answer->status == names->wrong_target_status && id &&
-	    strcmp(id, server->upstream_id) &&
-	    callbacks->on_incarnation_changed)
-		callbacks->on_incarnation_changed(id, callbacks->data);
-}
-
 static void update_error_rate(struct server *server, bool error)
 {
 	server->error_rate +=
@@ -311,92 +172,6 @@
 					   failed, inbound->timed);
 }
 
-static void log_notice(const struct server *server,
-		       const struct upstream_notice *notice)
-{
-	const struct upstream_notice *before = &server->notice;
-
-	if (notice->has_rate_limit != before->has_rate_limit)
-		log_info(component, "upstream_limit",
-			 LOG_TEXT("start", server->upstream_id),
-			 LOG_NUMBER("named", notice->has_rate_limit),
-			 LOG_NUMBER("per_1000_s",
-				    (int64_t)(notice->rate_limit_per_s *
-					      MS_PER_S)));
-	if (notice->leaving != before->leaving)
-		log_info(component, "upstream_leaving",
-			 LOG_TEXT("start", server->upstream_id),
-			 LOG_NUMBER("told", notice->leaving));
-}
-
-/*
- * Applies the limit that an answer names, or its absence. An answer without one
- * ends the limit only if its request was sent after the last answer that named
- * it: answers on several connections overtake each other.
- */
-static void apply_rate_limit(const struct inbound *inbound,
-			     const struct upstream_notice *notice)
-{
-	struct server *server = inbound->server;
-	struct gate *gate = server->options.gate;
-
-	if (!server->options.keep_rate_limit)
-		return;
-	if (notice->has_rate_limit) {
-		server->rate_limit_named_us = clock_monotonic_us();
-		gate_set_rate_limit(gate, notice->rate_limit_per_s,
-				    now(server));
-	} else if (inbound->sent_us > server->rate_limit_named_us) {
-		gate_clear_rate_limit(gate);
-	}
-}
-
-/* Reads what the upstream says of itself in an answer. An answer of another
- * incarnation at its address says nothing about it. */
-static void receive_notice(const struct inbound *inbound,
-			   const struct upstream_result *result,
-			   const struct http_answer *answer)
-{
-	struct server *server = inbound->server;
-	const struct call_names *names = server->options.names;
-	struct upstream_notice notice;
-	struct error err = ERROR_INIT;
-
-	if (answer->delivery != HTTP_ANSWERED ||
-	    result->gate_feedback == GATE_FAILED ||
-	    (names->wrong_target_status &&
-	     answer->status == names->wrong_target_status))
-		return;
-	if (!notice_read(names, answer, &notice, &err)) {
-		counter_add(&bad_notices, 1);
-		log_warn(component, "notice_refused",
-			 LOG_TEXT("start", server->upstream_id),
-			 LOG_TEXT("reason", err.text));
-		return;
-	}
-	apply_rate_limit(inbound, &notice);
-	/* An upstream that leaves does not come back in this incarnation. */
-	notice.leaving &= server->options.heed_leaving;
-	notice.leaving |= server->notice.leaving;
-	log_notice(server, &notice);
-	server->notice = notice;
-}
-
-/* An upstream that leaves ends after its drain time, whatever it runs. */
-static void watch_for_crash(const struct inbound *inbound,
-			    const struct upstream_result *result,
-			    const struct http_answer *answer)
-{
-	struct server *server = inbound->server;
-
-	if (result->answered)
-		crash_watch_answered(&server->crash_watch,
-				     &inbound->fingerprint, inbound->sent_us);
-	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out &&
-		 server->options.gate->state != GATE_LEAVING)
-		crash_watch_lost(&server->crash_watch, &inbound->fingerprint);
-}
-
 static void upstream_done(const struct http_answer *answer, void *data)
 {
 	struct inbound *inbound = data;
@@ -413,11 +188,10 @@
 	gate_done(server->options.gate, &inbound->gate, result.gate_feedback,
 		  took_us, now_us);
 	count_outcome(inbound, &result, answer, took_us);
-	watch_for_crash(inbound, &result, answer);
-	receive_notice(inbound, &result, answer);
-	log_served(inbound, &result, answer, took_us);
+	upstream_observe(inbound, &result, answer);
+	inbound_log_served(inbound, &result, answer, took_us);
 	record_latency(inbound,
-		       call_outcome_name(end_name(&result.outcome),
+		       call_outcome_name(inbound_end_name(&result.outcome),
 					 answer->status),
 		       took_us);
 	if (result.answered) {
@@ -431,10 +205,7 @@
 			stored->leaving_start = server->upstream_start;
 	}
 	inbound_end(inbound, &result.outcome, stored, stored_bytes);
-	if (server->notice.leaving && server->options.callbacks.on_leaving)
-		server->options.callbacks.on_leaving(
-			server->options.callbacks.data);
-	run_callbacks(server, answer);
+	upstream_run_callbacks(server, answer);
 	inbound_run_gate(server);
 }
 
@@ -543,11 +314,11 @@
 		gate_cancel(server->options.gate, &inbound->gate, now_us);
 	}
 	if (!sent) {
-		log_not_run(inbound, outcome);
+		inbound_log_not_run(inbound, outcome);
 		return;
 	}
-	log_aborted(inbound, outcome, took_us);
-	record_latency(inbound, end_name(outcome), took_us);
+	inbound_log_aborted(inbound, outcome, took_us);
+	record_latency(inbound, inbound_end_name(outcome), took_us);
 }
 
 void inbound_abort(struct inbound *inbound, enum call_reason reason)
--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -133,6 +133,37 @@
 struct http_transfer *upstream_send(struct inbound *inbound,
 				    http_answer_fn *done, int64_t now_us);
 
+/**
+ * upstream_observe() - applies what the end of an exchange shows about the
+ *	upstream: a crash, a limit, that it leaves
+ */
+void upstream_observe(const struct inbound *inbound,
+		      const struct upstream_result *result,
+		      const struct http_answer *answer);
+
+/**
+ * upstream_run_callbacks() - reports to the owner that the upstream is gone,
+ *was replaced or leaves, if the end of an exchange shows it
+ */
+void upstream_run_callbacks(struct server *server,
+			    const struct http_answer *answer);
+
+/** inbound_end_name() - stable name of the end of an attempt, for logs. */
+const char *inbound_end_name(const struct call_outcome *outcome);
+
+/** inbound_log_served() - logs an attempt that was sent to the upstream. */
+void inbound_log_served(const struct inbound *inbound,
+			const struct upstream_result *result,
+			const struct http_answer *answer, int64_t took_us);
+
+/** inbound_log_aborted() - logs an attempt that this node aborted. */
+void inbound_log_aborted(const struct inbound *inbound,
+			 const struct call_outcome *outcome, int64_t took_us);
+
+/** inbound_log_not_run() - logs an attempt that was not sent. */
+void inbound_log_not_run(const struct inbound *inbound,
+			 const struct call_outcome *outcome);
+
 /** inbound_new() - creates an attempt that was not received before. */
 struct inbound *inbound_new(struct server *server, struct serve_peer *peer,
 			    const struct call_frame *frame);
