call: what an upstream was, and said of itself, ends with its incarnation

An upstream that starts again under its id and address, with another start time, kept what the former incarnation had said: a limit until its first answer, and a leaving for good, so that it got no requests. In the own interface, which has no ids, one that was listed again after a crash did, and a second crash before any answer counted as the first.

--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -124,6 +124,11 @@
 	crash_watch->address = *address;
 }
 
+bool crash_watch_has_ended(const struct crash_watch *crash_watch)
+{
+	return crash_watch->losses.crash_id != 0;
+}
+
 void crash_watch_lost(struct crash_watch *crash_watch,
 		      const struct fingerprint *fingerprint)
 {
--- a/src/call/crash_watch.h
+++ b/src/call/crash_watch.h
@@ -57,6 +57,9 @@
 void crash_watch_set_upstream(struct crash_watch *crash_watch,
 			      const struct address *address);
 
+/** crash_watch_has_ended() - returns true after a confirmed end. */
+bool crash_watch_has_ended(const struct crash_watch *crash_watch);
+
 /** crash_watch_lost() - a run has ended without an answer. */
 void crash_watch_lost(struct crash_watch *crash_watch,
 		      const struct fingerprint *fingerprint);
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -395,21 +395,40 @@
 	return &server->request_stats;
 }
 
+/* Returns true if the upstream is not the one that was listed last. One that is
+ * listed again after a crash is another one, also under the same id. */
+static bool is_another_upstream(const struct server *server, const char *id,
+				uint64_t start, const struct address *address)
+{
+	return strcmp(server->upstream_id, id) ||
+	       server->upstream_start != start ||
+	       !address_equal(&server->upstream, address) ||
+	       (!server->has_upstream &&
+		crash_watch_has_ended(&server->crash_watch));
+}
+
+static void forget_upstream(struct server *server,
+			    const struct address *address)
+{
+	crash_watch_set_upstream(&server->crash_watch, address);
+	memset(&server->notice, 0, sizeof(server->notice));
+	gate_clear_rate_limit(server->options.gate);
+}
+
 void serve_set_upstream(struct server *server, const char *service,
 			const char *id, uint64_t start,
 			const struct address *address)
 {
+	bool is_another = address &&
+			  is_another_upstream(server, id, start, address);
+
 	server->has_upstream = address != NULL;
 	if (!address || strcmp(server->upstream_id, id) != 0)
 		reset_upstream_statistics(server);
 	if (!address)
 		return;
-	if (strcmp(server->upstream_id, id) ||
-	    !address_equal(&server->upstream, address)) {
-		crash_watch_set_upstream(&server->crash_watch, address);
-		memset(&server->notice, 0, sizeof(server->notice));
-		gate_clear_rate_limit(server->options.gate);
-	}
+	if (is_another)
+		forget_upstream(server, address);
 	server->upstream = *address;
 	server->upstream_start = start;
 	address_format(address, server->upstream_text);
