soak: requests that crash upstreams, limits that come and go, leaving told in answers

The stand-in can crash and come back with its counts (--down-ms). In the first part of a seed two contents crash what runs them, among everything else, and upstreams name limits (also 0 and a broken text), tell their leaving, and crash. Checked: at most six crashes for a content, twice as many if a data centre was cut off; and no harmless request is blocked. The faults are drawn apart, and seeds that have failed before are played without them, as they were.

--- a/soak/faults.c
+++ b/soak/faults.c
@@ -63,14 +63,6 @@
 		state_deadline(SOAK_LINGER_MS + SOAK_DRAIN_MS);
 }
 
-static void post_upstream(struct soak *soak, uint32_t i, const char *faults)
-{
-	char answer[256];
-
-	fetch_simple("POST", soak->cluster.nodes[i].upstream_address,
-		     "/standin/faults", faults, answer, sizeof(answer));
-}
-
 static void disturb_upstream(struct soak *soak, uint32_t i)
 {
 	static const char *const faults[] = {
@@ -81,7 +73,7 @@
 	uint32_t turn =
 		random_below(&soak->random, sizeof(faults) / sizeof(faults[0]));
 
-	post_upstream(soak, i, faults[turn]);
+	soak_post_upstream(soak, i, faults[turn]);
 }
 
 /* Does nothing without a connection to the platform: the command would wait for
@@ -409,6 +401,7 @@
 	uint32_t i;
 
 	memset(soak->series, 0, sizeof(soak->series));
+	soak_end_upstream_faults(soak);
 	while (ok && !all_running(soak)) {
 		soak->step++;
 		load_run(&soak->load, SOAK_STEP_MS);
@@ -417,9 +410,9 @@
 	for (i = 0; i < SOAK_CENTRES; i++)
 		end_centre_faults(soak, i, true);
 	for (i = 0; i < soak->count; i++)
-		post_upstream(soak, i,
-			      "{\"slow\":1,\"stall_ms\":0,\"shed\":false,"
-			      "\"cut\":0,\"close_run\":0,"
-			      "\"close_unrun\":0}");
+		soak_post_upstream(soak, i,
+				   "{\"slow\":1,\"stall_ms\":0,\"shed\":false,"
+				   "\"cut\":0,\"close_run\":0,"
+				   "\"close_unrun\":0}");
 	return ok;
 }
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -9,7 +9,8 @@
 /*
  * usage: soak BUILD [FIRST_SEED [SEEDS [STEPS [NODES [FILE]]]]]
  *
- * FILE holds seeds that are run first, one "SEED STEPS NODES" a line; a line
+ * FILE holds seeds that are run first, one "SEED STEPS NODES [upstreams]" a
+ * line; "upstreams" adds the faults of upstreams that other seeds have. A line
  * that begins with "#" is a comment. A seed always draws the same faults. Which
  * of these faults are injected depends on the state of the nodes at that time.
  */
@@ -29,8 +30,27 @@
 	IN_FLIGHT_MAX = 4000,
 	SETTINGS_SIZE = 256,
 	LINE_SIZE = 256,
+	NUMBER_SIZE = 16,
 };
 
+static void add_crashing_kinds(struct load_options *options)
+{
+	static const char *const paths[SOAK_CRASHING_KINDS] = {
+		"/bad/1?crash_us=5000",
+		"/bad/2?crash_us=20000",
+	};
+	uint32_t i;
+
+	for (i = 0; i < SOAK_CRASHING_KINDS; i++)
+		options->kinds[options->kind_count++] =
+			(struct load_kind){ .name = "crashing",
+					    .method = "GET",
+					    .path = paths[i],
+					    .service = "seal-desk",
+					    .share = 0.5,
+					    .deadline_ms = SOAK_DEADLINE_MS };
+}
+
 static bool start_load(struct soak *soak, uint64_t seed)
 {
 	static const struct load_kind kinds[] = {
@@ -90,6 +110,8 @@
 
 	memcpy(options.kinds, kinds, sizeof(kinds));
 	options.kind_count = sizeof(kinds) / sizeof(kinds[0]);
+	if (soak->upstream_faults)
+		add_crashing_kinds(&options);
 	for (i = 0; i < soak->count; i++)
 		options.targets[options.target_count++] =
 			soak->cluster.nodes[i].caller;
@@ -106,6 +128,7 @@
 		load_run(&soak->load, SOAK_STEP_MS);
 		if (!random_below(&soak->random, FAULT_INTERVAL_STEPS))
 			soak_inject_fault(soak);
+		soak_disturb_upstreams(soak);
 		soak_continue_series(soak);
 		ok = soak_end_faults(soak);
 	}
@@ -126,6 +149,7 @@
 		bench_must(load_drain(&soak->load, SOAK_ANSWER_MAX_MS),
 			   "every request completes in time");
 		soak_check_answers(soak);
+		soak_check_crashes(soak);
 		soak_check_nodes(soak);
 	}
 	load_finish(&soak->load);
@@ -162,10 +186,12 @@
 	unsetenv("GERANIUMPLANK_KEEP");
 }
 
-static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes)
+static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes,
+		     bool upstream_faults)
 {
 	static struct soak soak;
 	char settings[SETTINGS_SIZE];
+	char down_ms[NUMBER_SIZE];
 	const struct cluster_options options = {
 		.centres = SOAK_CENTRES,
 		.nodes = nodes,
@@ -173,7 +199,7 @@
 		.profile = "default",
 		.settings = settings,
 		.upstream_args = { "--service-us", "10000", "--spread",
-				   "exponential" },
+				   "exponential", "--down-ms", down_ms },
 	};
 	bool failed_before = bench_status() != 0;
 
@@ -182,7 +208,10 @@
 	fflush(stdout);
 	memset(&soak, 0, sizeof(soak));
 	soak.count = nodes;
+	soak.upstream_faults = upstream_faults;
 	random_init(&soak.random, seed);
+	random_init(&soak.upstream_random, ~seed);
+	snprintf(down_ms, sizeof(down_ms), "%d", SOAK_DOWN_MS);
 	write_settings(&soak, seed, settings);
 	if (bench_must(cluster_start(&soak.cluster, &options),
 		       "all processes start") &&
@@ -208,13 +237,17 @@
 	unsigned long long seed;
 	uint32_t steps;
 	uint32_t nodes;
+	char word[NUMBER_SIZE] = "";
+	int count;
 
 	if (line[0] == '#')
 		return;
-	if (bench_must(sscanf(line, "%llu %u %u", &seed, &steps, &nodes) == 3,
-		       "each line of the seed file is \"SEED STEPS NODES\"") &&
+	count = sscanf(line, "%llu %u %u %15s", &seed, &steps, &nodes, word);
+	if (bench_must(count == 3 || (count == 4 && !strcmp(word, "upstreams")),
+		       "each line of the seed file is \"SEED STEPS NODES "
+		       "[upstreams]\"") &&
 	    check_node_count(nodes))
-		run_seed(seed, steps, nodes);
+		run_seed(seed, steps, nodes, count == 4);
 }
 
 static void run_file(const char *path)
@@ -241,6 +274,6 @@
 	if (argc > 6)
 		run_file(argv[6]);
 	for (i = 0; check_node_count(nodes) && i < seeds; i++)
-		run_seed(seed + i, steps, nodes);
+		run_seed(seed + i, steps, nodes, true);
 	return bench_status();
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -44,6 +44,13 @@
 	SOAK_CONVERGE_MS = 20000,
 	/* A request that takes longer than this counts as hung. */
 	SOAK_ANSWER_MAX_MS = 60000,
+	/* Time for which a crashed upstream accepts no connections. */
+	SOAK_DOWN_MS = 300,
+	/* Contents of requests that crash the upstreams that run them. */
+	SOAK_CRASHING_KINDS = 2,
+	/* Crashes allowed for one content: three are needed to recognize it,
+	 * and as many runs may have begun by then. */
+	SOAK_CRASHES_MAX = 3 + 3,
 };
 
 enum fault {
@@ -107,6 +114,11 @@
  * @step: current step, of SOAK_STEP_MS
  * @tolerates_silence: nodes have a long silence timeout, so that a slow machine
  *	does not make a node declare a peer lost and abandon a request
+ * @upstream_faults: requests crash upstreams, and upstreams name limits and tell
+ *	their leaving in answers; drawn from @upstream_random, so that seeds
+ *	without these faults draw the same other faults as ever
+ * @leaving_until: by upstream: step at which an upstream that told its leaving
+ *	ends; 0: it has not told it
  * @planned: the second part is running: only planned changes are made
  * @planned_from_us: monotonic time at which the second part began, which is
  *	SOAK_SETTLE_MS after the end of the first part; 0 in the first part
@@ -125,6 +137,9 @@
 	uint32_t count;
 	uint32_t step;
 	bool tolerates_silence;
+	bool upstream_faults;
+	struct random upstream_random;
+	uint32_t leaving_until[SOAK_NODES_MAX];
 	bool planned;
 	int64_t planned_from_us;
 	struct soak_node nodes[SOAK_NODES_MAX];
@@ -140,6 +155,18 @@
 /** soak_inject_fault() - draws a fault and injects it if currently possible. */
 void soak_inject_fault(struct soak *soak);
 
+/** soak_disturb_upstreams() - draws a fault of an upstream and injects it. */
+void soak_disturb_upstreams(struct soak *soak);
+
+/** soak_end_upstream_faults() - ends these faults; all upstreams run again. */
+void soak_end_upstream_faults(struct soak *soak);
+
+/** soak_check_crashes() - checks that crashing requests were blocked in time. */
+void soak_check_crashes(struct soak *soak);
+
+/** soak_post_upstream() - sets faults of the upstream of node @i. */
+void soak_post_upstream(struct soak *soak, uint32_t i, const char *faults);
+
 /** soak_continue_series() - applies the next change of each series if due. */
 void soak_continue_series(struct soak *soak);
 
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -102,6 +102,10 @@
 
 	if (!announcer->node[0])
 		return;
+	if (upstream_is_down(upstream)) {
+		timer_set(&loop, timer, clock_monotonic_us() + RETRY_US);
+		return;
+	}
 	body = json_pack("{s:s, s:s, s:s, s:i, s:s, s:f}", "service",
 			 upstream->options.service, "profile",
 			 upstream->options.profile, "address",
@@ -201,6 +205,7 @@
 	options->cold_factor =
 		strtod(standin_option(argc, argv, "cold-factor", "5"), NULL);
 	options->leave_ms = number(argc, argv, "leave-ms", "500");
+	options->down_ms = number(argc, argv, "down-ms", "0");
 	options->report_lag_ms = number(argc, argv, "report-lag-ms", "0");
 }
 
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -16,12 +16,15 @@
  * HTTP requests set faults.
  *
  *	GET  /standin/stats[?list=1]	counts; with list also runs by id
- *	POST /standin/faults {...}	see struct upstream_faults
+ *	POST /standin/faults {...}	see struct upstream_faults; with
+ *					"crash":true the upstream crashes
  *	any other path			a request, answered with its id
  *
  * The query of a request may set ?bytes=N (size of the answer) and
- * ?service_us=N (service time). A request with ?crash_us=N ends the process N
- * microseconds after it has begun to run.
+ * ?service_us=N (service time). A request with ?crash_us=N crashes the upstream N
+ * microseconds after it has begun to run: the process ends or, with down_ms, it
+ * closes all connections and listens again after that time, and the counts are
+ * kept.
  */
 
 enum {
@@ -75,6 +78,8 @@
  * @cold_factor: factor on the service time at the start of the warm-up, falling
  *	to 1 at its end
  * @leave_ms: shortest time between the state "leaving" and the exit
+ * @down_ms: time for which a crashed upstream accepts no connections; 0 ends the
+ *	process
  * @report_lag_ms: maximum age of the reported load
  */
 struct upstream_options {
@@ -89,6 +94,7 @@
 	int64_t cold_ms;
 	double cold_factor;
 	int64_t leave_ms;
+	int64_t down_ms;
 	int64_t report_lag_ms;
 };
 
@@ -147,6 +153,9 @@
  * @shed: number of requests refused with 503
  * @started_us: time of the start, monotonic clock
  * @leaving_us: time at which the upstream began to leave; 0 before
+ * @port: port of the server
+ * @request_crash_count: number of crashes that requests caused
+ * @restart: timer of the end of a crash, see down_ms
  * @arrivals: arrivals that a limit or the leaving should have prevented
  * @last_arrival_us: time at which the latest request arrived
  * @reported_load: load that was reported last
@@ -170,6 +179,9 @@
 	uint64_t shed;
 	int64_t started_us;
 	int64_t leaving_us;
+	uint16_t port;
+	uint32_t request_crash_count;
+	struct timer restart;
 	struct upstream_arrivals arrivals;
 	int64_t last_arrival_us;
 	double reported_load;
@@ -184,6 +196,9 @@
 /** upstream_load() - load to report, see @load of struct upstream_faults. */
 double upstream_load(struct upstream *upstream);
 
+/** upstream_is_down() - true while the upstream has crashed, see down_ms. */
+bool upstream_is_down(const struct upstream *upstream);
+
 /** upstream_idle() - true if no request runs or waits. */
 bool upstream_idle(const struct upstream *upstream);
 
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -167,13 +167,37 @@
 	free(body);
 }
 
+static void free_jobs(struct upstream *upstream)
+{
+	struct upstream_job *job;
+	struct upstream_job *next;
+
+	DL_FOREACH_SAFE(upstream->running, job, next)
+		job_free(job);
+	DL_FOREACH_SAFE(upstream->waiting, job, next)
+		job_free(job);
+}
+
+static void crash(struct upstream *upstream)
+{
+	if (!upstream->options.down_ms)
+		raise(SIGKILL);
+	free_jobs(upstream);
+	http_server_finish(&upstream->server);
+	timer_set(upstream->loop, &upstream->restart,
+		  clock_monotonic_us() + upstream->options.down_ms * US_PER_MS);
+}
+
 static void finish_job(struct timer *timer, void *data)
 {
 	struct upstream_job *job = data;
 	struct upstream *upstream = job->upstream;
 
-	if (http_exchange_query(job->exchange, "crash_us"))
-		raise(SIGKILL);
+	if (http_exchange_query(job->exchange, "crash_us")) {
+		upstream->request_crash_count++;
+		crash(upstream);
+		return;
+	}
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
 		http_exchange_close(job->exchange);
@@ -328,6 +352,8 @@
 		(json_int_t)upstream->waiting_count, "new_work_after_ms",
 		(json_int_t)(after_us / US_PER_MS));
 
+	json_object_set_new(stats, "request_crashes",
+			    json_integer(upstream->request_crash_count));
 	json_object_set_new(stats, "limit_peak",
 			    json_integer(upstream->arrivals.limit_peak));
 	json_object_set_new(stats, "after_leaving",
@@ -402,6 +428,11 @@
 
 	read_faults(upstream, body);
 	read_rate_limit(upstream, body);
+	if (json_is_true(json_object_get(body, "crash"))) {
+		json_decref(body);
+		crash(upstream);
+		return;
+	}
 	json_decref(body);
 	reply_json(exchange, json_object());
 }
@@ -443,9 +474,7 @@
 	return !upstream->running_count && !upstream->waiting_count;
 }
 
-bool upstream_init(struct upstream *upstream, struct loop *loop,
-		   const struct upstream_options *options, uint16_t port,
-		   struct error *err)
+static bool start_listening(struct upstream *upstream, struct error *err)
 {
 	struct http_server_options server = {
 		.max_body_bytes = BODY_MAX_BYTES,
@@ -455,28 +484,57 @@
 		.data = upstream,
 	};
 
+	address_parse("127.0.0.1:0", &server.address, err);
+	server.address.port = upstream->port;
+	if (!http_server_init(&upstream->server, upstream->loop, &server, err))
+		return false;
+	upstream->port = http_server_address(&upstream->server)->port;
+	return true;
+}
+
+/* A crashed upstream starts again, without a limit or a notice of leaving. */
+static void restart_expired(struct timer *timer, void *data)
+{
+	struct upstream *upstream = data;
+	struct error err = ERROR_INIT;
+
+	upstream->faults.rate_limit[0] = '\0';
+	upstream->faults.leaving = 0;
+	memset(&upstream->arrivals, 0, sizeof(upstream->arrivals));
+	if (start_listening(upstream, &err))
+		return;
+	upstream->server.loop = NULL;
+	timer_set(upstream->loop, timer,
+		  clock_monotonic_us() + upstream->options.down_ms * US_PER_MS);
+}
+
+bool upstream_is_down(const struct upstream *upstream)
+{
+	return timer_is_set(&upstream->restart);
+}
+
+bool upstream_init(struct upstream *upstream, struct loop *loop,
+		   const struct upstream_options *options, uint16_t port,
+		   struct error *err)
+{
 	memset(upstream, 0, sizeof(*upstream));
 	upstream->options = *options;
 	upstream->loop = loop;
 	upstream->faults.load = -1;
 	upstream->started_us = clock_monotonic_us();
 	random_init(&upstream->random, port);
-	address_parse("127.0.0.1:0", &server.address, err);
-	server.address.port = port;
-	return http_server_init(&upstream->server, loop, &server, err);
+	timer_init(&upstream->restart, restart_expired, upstream);
+	upstream->port = port;
+	return start_listening(upstream, err);
 }
 
 void upstream_finish(struct upstream *upstream)
 {
 	struct upstream_run *run;
 	struct upstream_run *next;
-	struct upstream_job *job;
-	struct upstream_job *next_job;
 
-	DL_FOREACH_SAFE(upstream->running, job, next_job)
-		job_free(job);
-	DL_FOREACH_SAFE(upstream->waiting, job, next_job)
-		job_free(job);
+	free_jobs(upstream);
+	timer_cancel(upstream->loop, &upstream->restart);
 	http_server_finish(&upstream->server);
 	HASH_CLEAR(hh, upstream->runs);
 	LL_FOREACH_SAFE(upstream->run_list, run, next)
