quarantine: one node makes the trial of both hashes of a request

A blocked request whose upstreams had been corrected stayed blocked for longer than it had to: 72 s in a play where the first trial is due after 30 s. It is tracked by two hashes, with and without its caller, and each had a node of its own whose turn the trial was; a request passes only if both do. No upstream crashes on the way.

--- a/src/quarantine/net.c
+++ b/src/quarantine/net.c
@@ -361,20 +361,21 @@
 }
 
 /* Returns true if this node makes the trials of @entry now. Members that are
- * not reachable count as well, so that both sides of a partition agree. */
+ * not reachable count as well, so that both sides of a partition agree.
+ * @content: the same for both hashes of a request, so that one node makes the
+ *	trials of both */
 static bool is_own_trial(const struct quarantine_net *net,
-			 const struct quarantine_entry *entry)
+			 const struct quarantine_entry *entry, uint64_t content)
 {
 	const struct members *members = members_of(net);
-	uint64_t hash = entry->finding.hash;
 	int64_t turn = (now(net) - entry->changed_us) / TRIAL_TURN_US;
-	uint64_t own = trial_rank(members->self, hash, turn);
+	uint64_t own = trial_rank(members->self, content, turn);
 	const struct data_centre *centre;
 	uint32_t i;
 
 	for (centre = members->data_centres; centre; centre = centre->next)
 		for (i = 0; i < centre->count; i++)
-			if (trial_rank(centre->members[i], hash, turn) > own)
+			if (trial_rank(centre->members[i], content, turn) > own)
 				return false;
 	return true;
 }
@@ -396,10 +397,10 @@
 	return decision;
 }
 
-/* Decides for one hash; @takes_trial is NULL beside the upstream, where the
- * node of the caller has decided on a trial. */
+/* Decides for one hash of a request with the hash @content; @takes_trial is NULL
+ * beside the upstream, where the node of the caller has decided on a trial. */
 static struct quarantine_decision decide(const struct quarantine_net *net,
-					 uint64_t hash,
+					 uint64_t hash, uint64_t content,
 					 struct quarantine_entry **takes_trial)
 {
 	const struct quarantine_decision pass = { .blocked = false };
@@ -416,7 +417,7 @@
 		if (!takes_trial)
 			return pass;
 		if (now(net) < entry->trial_until_us ||
-		    !is_own_trial(net, entry))
+		    !is_own_trial(net, entry, content))
 			break;
 		*takes_trial = entry;
 		return pass;
@@ -443,19 +444,21 @@
 quarantine_net_decide_caller(struct quarantine_net *net,
 			     const struct fingerprint *fingerprint)
 {
-	struct quarantine_entry *content = NULL;
-	struct quarantine_entry *by_caller = NULL;
+	uint64_t content = fingerprint->content;
+	struct quarantine_entry *trial = NULL;
+	struct quarantine_entry *trial_by_caller = NULL;
 	struct quarantine_decision decision =
-		decide(net, fingerprint->content, &content);
+		decide(net, content, content, &trial);
 
 	if (!decision.blocked)
-		decision = decide(net, fingerprint->by_caller, &by_caller);
+		decision = decide(net, fingerprint->by_caller, content,
+				  &trial_by_caller);
 	if (decision.blocked)
 		return decision;
-	if (content)
-		begin_trial(net, content);
-	if (by_caller)
-		begin_trial(net, by_caller);
+	if (trial)
+		begin_trial(net, trial);
+	if (trial_by_caller)
+		begin_trial(net, trial_by_caller);
 	return decision;
 }
 
@@ -463,11 +466,13 @@
 quarantine_net_decide_upstream(const struct quarantine_net *net,
 			       const struct fingerprint *fingerprint)
 {
+	uint64_t content = fingerprint->content;
 	struct quarantine_decision decision =
-		decide(net, fingerprint->content, NULL);
+		decide(net, content, content, NULL);
 
-	return decision.blocked ? decision
-				: decide(net, fingerprint->by_caller, NULL);
+	return decision.blocked
+		       ? decision
+		       : decide(net, fingerprint->by_caller, content, NULL);
 }
 
 bool quarantine_net_may_resend(const struct quarantine_net *net,
--- a/test/functional/crash_test.c
+++ b/test/functional/crash_test.c
@@ -25,6 +25,8 @@
 	/* Time after the third crash in which nodes may still learn of it. */
 	LEARN_US = 3000 * US_PER_MS,
 	OBSERVE_US = 6000 * US_PER_MS,
+	/* The first trial of a block, and two turns of nodes that make it. */
+	TRIAL_WAIT_US = (30 + 20) * US_PER_S,
 	CRASHES_LEARNED_FROM = 3,
 	/* Crashes allowed later than that. */
 	LATER_CRASHES_MAX = 3,
@@ -277,6 +279,54 @@
 	check_crashing_request(PLATFORM_DOWN);
 }
 
+/* Returns true if every node lets the formerly crashing request through. */
+static bool is_released(void)
+{
+	uint32_t i;
+
+	for (i = 0; i < NODES; i++) {
+		struct fetch fetch = { .method = "GET" };
+		long status;
+
+		cluster_call(&cluster, i, "alpha", &fetch,
+			     "/bad?crash_us=20000");
+		status = fetch.status;
+		fetch_finish(&fetch);
+		if (status != 200)
+			return false;
+	}
+	return true;
+}
+
+/* Guards against a block that never ends although the upstreams have been
+ * corrected. */
+Test(crash, a_block_ends_once_upstreams_complete_the_request, .init = start,
+     .fini = stop, .timeout = 180)
+{
+	int64_t until_us;
+	uint32_t i;
+
+	memset(&state, 0, sizeof(state));
+	wait_third_crash();
+	run_until(state.third_crash_us + LEARN_US);
+	for (i = 0; i < NODES; i++) {
+		char answer[64];
+
+		cr_assert_eq(
+			fetch_simple("POST", cluster.nodes[i].upstream_address,
+				     "/standin/faults", "{\"corrected\":true}",
+				     answer, sizeof(answer)),
+			200);
+	}
+	until_us = clock_monotonic_us() + TRIAL_WAIT_US;
+	while (!is_released() && clock_monotonic_us() < until_us)
+		run_until(clock_monotonic_us() + RESTART_US);
+	cr_expect(is_released());
+	load_drain(&load, WAIT_MS);
+	supervise();
+	cr_expect_leq(state.later_crashes, 0);
+}
+
 static uint32_t count_quarantined(void)
 {
 	uint32_t count = 0;
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -46,6 +46,7 @@
  *	did not run
  * @shed_plain: if not 0, each request gets a 503 without that header
  * @rate_limit: text that answers name as limit; empty for none
+ * @corrected: if not 0, no request crashes the upstream any more
  * @leaving: if not 0, answers say that the upstream leaves
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
@@ -60,6 +61,7 @@
 	int shed;
 	int shed_plain;
 	char rate_limit[UPSTREAM_NOTICE_SIZE];
+	int corrected;
 	int leaving;
 	double load;
 };
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -193,7 +193,8 @@
 	struct upstream_job *job = data;
 	struct upstream *upstream = job->upstream;
 
-	if (http_exchange_query(job->exchange, "crash_us")) {
+	if (http_exchange_query(job->exchange, "crash_us") &&
+	    !upstream->faults.corrected) {
 		upstream->request_crash_count++;
 		crash(upstream);
 		return;
@@ -388,6 +389,7 @@
 		{ "slow", NULL, &faults->slow },
 		{ "shed", &faults->shed, NULL },
 		{ "shed_plain", &faults->shed_plain, NULL },
+		{ "corrected", &faults->corrected, NULL },
 		{ "leaving", &faults->leaving, NULL },
 		{ "load", NULL, &faults->load },
 	};
