functional: a limit holds when the node beside its upstream restarts

The case that the postmortem called not played: a limit of 2.5 a second, and the node that keeps it is killed and started once the requests count.

--- a/test/functional/limit_test.c
+++ b/test/functional/limit_test.c
@@ -22,6 +22,7 @@
 	RATE_PER_S = 90,
 	/* Time to learn of the limit, and two windows of the rule. */
 	NAMED_MS = 3000 + 2 * 4000,
+	LEARN_MS = 3000,
 	RESTART_GAP_MS = 500,
 	SERVED_MIN_PERCENT = 98,
 	/* Of what all limits together allow, if all upstreams are limited. */
@@ -33,6 +34,7 @@
 	UNDISTURBED,
 	DATA_CENTRE_CUT,
 	NODES_RESTART,
+	NODE_BESIDE_RESTARTS,
 	PLATFORM_DOWN,
 };
 
@@ -125,6 +127,12 @@
 	case NODES_RESTART:
 		restart_other_nodes();
 		break;
+	case NODE_BESIDE_RESTARTS:
+		/* Until the first requests count. */
+		load_run(&load, LEARN_MS);
+		process_kill(&cluster.nodes[0].process);
+		cr_assert(cluster_start_node(&cluster, 0));
+		break;
 	case PLATFORM_DOWN:
 		cr_assert(cluster_platform_faults(&cluster, "{\"down\":true}"));
 		break;
@@ -190,6 +198,13 @@
 	check_limit("2.5", NODES_RESTART);
 }
 
+/* Guards against a limit that the node beside the upstream has forgotten. */
+Test(limit, a_limit_holds_when_the_node_beside_restarts, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	check_limit("2.5", NODE_BESIDE_RESTARTS);
+}
+
 Test(limit, a_limit_holds_while_the_platform_is_down, .init = start,
      .fini = stop, .timeout = 120)
 {
