--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -85,7 +85,8 @@
  *
  * The fittest nodes are picked, since nodes that start load much data from the
  * listed nodes: a listed node with a slow link delays the first version of all
- * of them, by half a second where links differed 20-fold. Of nodes with equal fitness those already listed are preferred.
+ * of them, by half a second where links differed 20-fold. Of nodes with equal
+ * fitness those already listed are preferred.
  */
 void directory_consider(const struct directory *directory,
 			const char *data_centre, const struct address *address,
