--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -142,8 +142,9 @@
 		      const struct http_answer *answer);
 
 /**
- * upstream_run_callbacks() - reports to the owner that the upstream is gone,
- *was replaced or leaves, if the end of an exchange shows it
+ * upstream_run_callbacks() - reports to the owner what an exchange shows
+ *
+ * The upstream may be gone, may have been replaced, or may be leaving.
  */
 void upstream_run_callbacks(struct server *server,
 			    const struct http_answer *answer);
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -22,9 +22,9 @@
  *
  * The query of a request may set ?bytes=N (size of the answer) and
  * ?service_us=N (service time). A request with ?crash_us=N crashes the upstream
- *N microseconds after it has begun to run: the process ends or, with down_ms,
- *	it closes all connections and listens again after that time, and the counts
- *	are kept.
+ * after it has run for N microseconds: the process ends. With down_ms, it
+ * closes all connections instead, listens again after that time, and keeps its
+ * counts.
  */
 
 enum {
@@ -80,8 +80,8 @@
  * @cold_factor: factor on the service time at the start of the warm-up, falling
  *	to 1 at its end
  * @leave_ms: shortest time between the state "leaving" and the exit
- * @down_ms: time for which a crashed upstream accepts no connections; 0 ends
- *	the process
+ * @down_ms: time for which a crashed upstream accepts no connections; with 0,
+ *	its process ends
  * @report_lag_ms: maximum age of the reported load
  */
 struct upstream_options {
