membership: one way to send a frame to some members

The quarantine had copied from the roll-outs how a change is sent to a few nodes of each data centre and a table to a random one. Both use membership/fanout now.

--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -111,8 +111,8 @@
 	}
 	apply_rate_limit(inbound, &notice);
 	/* An upstream that leaves does not come back in this incarnation. */
-	notice.leaving &= server->options.heed_leaving;
-	notice.leaving |= server->notice.leaving;
+	notice.leaving = server->notice.leaving ||
+			 (notice.leaving && server->options.heed_leaving);
 	log_notice(server, &notice);
 	server->notice = notice;
 }
--- a/src/quarantine/net.c
+++ b/src/quarantine/net.c
@@ -6,6 +6,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "membership/fanout.h"
 #include "membership/gossip.h"
 #include "os/clock.h"
 
@@ -55,15 +56,6 @@
 	return &net->options.gossip->members;
 }
 
-static void send_to(struct quarantine_net *net, struct wire_conn *conn)
-{
-	size_t size;
-	const void *frame = encoder_end(&net->encoder, &size);
-
-	counter_add(&findings_sent, 1);
-	wire_conn_send(conn, frame, size);
-}
-
 static void add_to_frame(struct quarantine_net *net,
 			 const struct quarantine_entry *entry)
 {
@@ -71,28 +63,6 @@
 				(now(net) - entry->changed_us) / US_PER_MS);
 }
 
-/* Sends the frame to at most @max_count reachable members of a data centre,
- * starting at a random member. */
-static void send_to_centre(struct quarantine_net *net,
-			   const struct data_centre *centre, uint32_t max_count)
-{
-	const struct members *members = members_of(net);
-	uint32_t start = random_below(&net->random, centre->count);
-	uint32_t i;
-
-	for (i = 0; i < centre->count && max_count; i++) {
-		const struct member *member =
-			centre->members[(start + i) % centre->count];
-
-		if (member == members->self ||
-		    !members_reachable(members, member))
-			continue;
-		send_to(net, wire_hub_connect(net->options.hub,
-					      &member->record.address));
-		max_count--;
-	}
-}
-
 static uint32_t count_unsent(const struct quarantine_net *net)
 {
 	const struct quarantine_entry *entry;
@@ -118,11 +88,30 @@
 	}
 }
 
+static struct fanout fanout_of(struct quarantine_net *net)
+{
+	const struct fanout fanout = {
+		.hub = net->options.hub,
+		.members = members_of(net),
+		.random = &net->random,
+	};
+
+	return fanout;
+}
+
+static struct fanout_frame end_frame(struct quarantine_net *net)
+{
+	struct fanout_frame frame;
+
+	frame.data = encoder_end(&net->encoder, &frame.size);
+	return frame;
+}
+
 static void send_changes(void *data)
 {
 	struct quarantine_net *net = data;
-	const struct members *members = members_of(net);
-	const struct data_centre *centre;
+	const struct fanout fanout = fanout_of(net);
+	struct fanout_frame frame;
 	uint32_t count = count_unsent(net);
 
 	if (!count)
@@ -132,10 +121,9 @@
 		loop_defer(net->options.loop, &net->send);
 	}
 	encode_unsent(net, count);
-	for (centre = members->data_centres; centre; centre = centre->next)
-		send_to_centre(net, centre,
-			       centre == members->home ? FANOUT_LOCAL
-						       : FANOUT_REMOTE);
+	frame = end_frame(net);
+	counter_add(&findings_sent, fanout_to_all(&fanout, FANOUT_LOCAL,
+						  FANOUT_REMOTE, &frame));
 }
 
 static void start_timer(struct quarantine_net *net)
@@ -259,6 +247,7 @@
 {
 	const struct quarantine_entry *entry = net->table.entries;
 	uint32_t left = HASH_COUNT(net->table.entries);
+	struct fanout_frame frame;
 
 	while (left) {
 		uint32_t count = left < QUARANTINE_FRAME_FINDINGS
@@ -266,33 +255,25 @@
 					 : QUARANTINE_FRAME_FINDINGS;
 
 		entry = encode_from(net, entry, count);
-		send_to(net, conn);
+		frame = end_frame(net);
+		counter_add(&findings_sent, 1);
+		wire_conn_send(conn, frame.data, frame.size);
 		left -= count;
 	}
 }
 
-static const struct data_centre *random_centre(struct quarantine_net *net)
-{
-	const struct data_centre *centre;
-	const struct data_centre *chosen = members_of(net)->home;
-	uint32_t seen = 0;
-
-	for (centre = members_of(net)->data_centres; centre;
-	     centre = centre->next)
-		if (random_below(&net->random, ++seen) == 0)
-			chosen = centre;
-	return chosen;
-}
-
 static void timer_expired(struct timer *timer, void *data)
 {
 	struct quarantine_net *net = data;
+	const struct fanout fanout = fanout_of(net);
+	struct fanout_frame frame;
 
 	quarantine_table_expire(&net->table, now(net));
 	if (!net->table.entries)
 		return;
 	encode_random(net);
-	send_to_centre(net, random_centre(net), 1);
+	frame = end_frame(net);
+	counter_add(&findings_sent, fanout_to_one(&fanout, &frame));
 	start_timer(net);
 }
 
--- a/src/rollout/net.c
+++ b/src/rollout/net.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
+#include "membership/fanout.h"
 #include "os/clock.h"
 #include "platform/rollout.h"
 
@@ -84,39 +85,35 @@
 				   rollout_entry_elapsed_ms(entry, now(net)));
 }
 
-/* Sends the frame to at most @max_count reachable members of a data centre,
- * starting at a random member. */
-static void send_to_centre(struct rollout_net *net,
-			   const struct data_centre *centre, uint32_t max_count)
+static struct fanout fanout_of(struct rollout_net *net)
 {
-	const struct members *members = members_of(net);
-	uint32_t start = random_below(&net->random, centre->count);
-	uint32_t i;
+	const struct fanout fanout = {
+		.hub = net->options.hub,
+		.members = members_of(net),
+		.random = &net->random,
+	};
+
+	return fanout;
+}
 
-	for (i = 0; i < centre->count && max_count; i++) {
-		const struct member *member =
-			centre->members[(start + i) % centre->count];
+static struct fanout_frame end_frame(struct rollout_net *net)
+{
+	struct fanout_frame frame;
 
-		if (member == members->self ||
-		    !members_reachable(members, member))
-			continue;
-		counter_add(&states_sent, 1);
-		send_to(net, &member->record);
-		max_count--;
-	}
+	frame.data = encoder_end(&net->encoder, &frame.size);
+	return frame;
 }
 
 static void send_change(struct rollout_net *net,
 			const struct rollout_entry *entry)
 {
-	const struct members *members = members_of(net);
-	const struct data_centre *centre;
+	const struct fanout fanout = fanout_of(net);
+	struct fanout_frame frame;
 
 	encode_entry(net, entry);
-	for (centre = members->data_centres; centre; centre = centre->next)
-		send_to_centre(net, centre,
-			       centre == members->home ? FANOUT_LOCAL
-						       : FANOUT_REMOTE);
+	frame = end_frame(net);
+	counter_add(&states_sent, fanout_to_all(&fanout, FANOUT_LOCAL,
+						FANOUT_REMOTE, &frame));
 }
 
 static void start_ticks(struct rollout_net *net)
@@ -308,24 +305,15 @@
 	send_report(net, rollout, &report);
 }
 
-static const struct data_centre *random_centre(struct rollout_net *net)
-{
-	const struct data_centre *centre;
-	const struct data_centre *chosen = members_of(net)->home;
-	uint32_t seen = 0;
-
-	for (centre = members_of(net)->data_centres; centre;
-	     centre = centre->next)
-		if (random_below(&net->random, ++seen) == 0)
-			chosen = centre;
-	return chosen;
-}
-
 /* Nodes that missed a change receive it by these messages in the end. */
 static void send_table_randomly(struct rollout_net *net)
 {
+	const struct fanout fanout = fanout_of(net);
+	struct fanout_frame frame;
+
 	encode_table(net);
-	send_to_centre(net, random_centre(net), 1);
+	frame = end_frame(net);
+	counter_add(&states_sent, fanout_to_one(&fanout, &frame));
 }
 
 static void tick(struct timer *timer, void *data)
