--- a/test/functional/crash_test.c
+++ b/test/functional/crash_test.c
@@ -3,9 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "fleet/load.h"
 #include "functional/background.h"
-#include "functional/profile.h"
+#include "functional/loaded.h"
 #include "os/clock.h"
 
 /**
@@ -16,8 +15,7 @@
  */
 
 enum {
-	CENTRES = 2,
-	NODES = 6,
+	NODES = LOADED_NODES,
 	WAIT_MS = BACKGROUND_WAIT_MS,
 	STEP_MS = 20,
 	RATE_PER_S = 80,
@@ -30,22 +28,12 @@
 	CRASHES_LEARNED_FROM = 3,
 	/* Crashes allowed later than that. */
 	LATER_CRASHES_MAX = 3,
-	/* Harmless requests served, in 100 of those that a node answered. */
-	SERVED_MIN_PERCENT = 98,
 };
 
 /* Kinds of requests of the load; further ones are harmless and rare. */
 enum kind { KIND_HARMLESS, KIND_CRASHING, KINDS = 8 };
 
-enum disturbance {
-	UNDISTURBED,
-	DATA_CENTRE_CUT,
-	NODES_RESTART,
-	PLATFORM_DOWN,
-};
-
-static struct cluster cluster;
-static struct load load;
+static struct loaded loaded;
 static struct {
 	int64_t restart_at_us[NODES]; /* 0 while the upstream runs */
 	uint32_t crashes;
@@ -53,66 +41,33 @@
 	uint32_t later_crashes;
 } state;
 
-static void add_rare_kinds(struct load_options *options)
+static void start_with(double crashing_share, const char *service_us)
 {
-	static const char *const paths[KINDS] = {
+	const char *const args[] = { "--service-us", service_us, NULL };
+	static const char *const rare_paths[KINDS] = {
 		[2] = "/rare/1", "/rare/2", "/rare/3",
 		"/rare/4",	 "/rare/5", "/rare/6",
 	};
-	uint32_t i;
-
-	for (i = options->kind_count; i < KINDS; i++)
-		options->kinds[i] = (struct load_kind){ .name = "rare",
-							.method = "GET",
-							.path = paths[i],
-							.service = "alpha",
-							.share = 0.2 };
-	options->kind_count = KINDS;
-}
-
-static void start_with(double crashing_share, const char *service_us)
-{
-	const struct cluster_options options = {
-		.centres = CENTRES,
-		.nodes = NODES,
-		.services = { "alpha" },
-		.profile = "default",
-		.settings = "[membership]\nprobe_interval_ms = 100\n"
-			    "probe_timeout_ms = 50\nsuspicion_ms = 300\n",
-		.upstream_args = { "--service-us", service_us },
+	struct load_kind kinds[KINDS] = {
+		[KIND_HARMLESS] = { .name = "harmless",
+				    .path = "/read",
+				    .share = 9 },
+		[KIND_CRASHING] = { .name = "crashing",
+				    .path = "/bad?crash_us=20000",
+				    .share = crashing_share },
 	};
-	struct load_options load_options = {
-		.kinds = { { .name = "harmless",
-			     .method = "GET",
-			     .path = "/read",
-			     .service = "alpha",
-			     .share = 9 },
-			   { .name = "crashing",
-			     .method = "GET",
-			     .path = "/bad?crash_us=20000",
-			     .service = "alpha",
-			     .share = crashing_share } },
-		.kind_count = 2,
-		.rate_per_s = RATE_PER_S,
-		.in_flight_max = 1000,
-		.timeout_ms = WAIT_MS,
-		.seed = 1,
-		.prefix = "crash",
-	};
-	struct error err = ERROR_INIT;
 	uint32_t i;
 
-	add_rare_kinds(&load_options);
-	cr_assert(cluster_start(&cluster, &options));
-	cr_assert(cluster_wait_members(&cluster, NODES, WAIT_MS));
-	cr_assert_eq(cluster_accept(&cluster, 0, "default", functional_profile),
-		     1);
-	cr_assert(cluster_wait_version(&cluster, -1, 1, WAIT_MS));
-	cr_assert(cluster_wait_routes(&cluster, WAIT_MS));
-	for (i = 0; i < NODES; i++)
-		load_options.targets[load_options.target_count++] =
-			cluster.nodes[i].caller;
-	cr_assert(load_begin(&load, &load_options, &err), "%s", err.text);
+	for (i = 0; i < KINDS; i++) {
+		kinds[i].method = "GET";
+		kinds[i].service = "alpha";
+		if (!rare_paths[i])
+			continue;
+		kinds[i].name = "rare";
+		kinds[i].path = rare_paths[i];
+		kinds[i].share = 0.2;
+	}
+	loaded_start(&loaded, args, kinds, KINDS, RATE_PER_S);
 }
 
 static void start(void)
@@ -128,8 +83,7 @@
 
 static void stop(void)
 {
-	load_finish(&load);
-	cluster_stop(&cluster);
+	loaded_stop(&loaded);
 }
 
 static void note_crash(uint32_t i, int64_t now_us)
@@ -148,13 +102,13 @@
 	uint32_t i;
 
 	for (i = 0; i < NODES; i++) {
-		struct process *upstream = &cluster.nodes[i].upstream;
+		struct process *upstream = &loaded.cluster.nodes[i].upstream;
 
 		if (!state.restart_at_us[i] && process_wait(upstream, 0)) {
 			note_crash(i, now_us);
 		} else if (state.restart_at_us[i] &&
 			   now_us >= state.restart_at_us[i]) {
-			cr_assert(cluster_start_upstream(&cluster, i));
+			cr_assert(cluster_start_upstream(&loaded.cluster, i));
 			state.restart_at_us[i] = 0;
 		}
 	}
@@ -163,7 +117,7 @@
 static void run_until(int64_t until_us)
 {
 	while (clock_monotonic_us() < until_us) {
-		load_run(&load, STEP_MS);
+		load_run(&loaded.load, STEP_MS);
 		supervise();
 	}
 }
@@ -173,61 +127,32 @@
 	int64_t until_us = clock_monotonic_us() + WAIT_MS * US_PER_MS;
 
 	while (!state.third_crash_us && clock_monotonic_us() < until_us) {
-		load_run(&load, STEP_MS);
+		load_run(&loaded.load, STEP_MS);
 		supervise();
 	}
 	cr_assert(state.third_crash_us);
 }
 
+/* Restarts all nodes; the supervisor goes on meanwhile. */
 static void restart_nodes(void)
 {
 	uint32_t i;
 
 	for (i = 0; i < NODES; i++) {
-		process_kill(&cluster.nodes[i].process);
-		cr_assert(cluster_start_node(&cluster, i));
+		process_kill(&loaded.cluster.nodes[i].process);
+		cr_assert(cluster_start_node(&loaded.cluster, i));
 		run_until(clock_monotonic_us() + RESTART_US);
 	}
 }
 
-static void disturb(enum disturbance disturbance)
+static uint32_t first_record_from(int64_t from_us)
 {
-	switch (disturbance) {
-	case UNDISTURBED:
-		break;
-	case DATA_CENTRE_CUT:
-		cluster_partition(&cluster, 1, true);
-		break;
-	case NODES_RESTART:
-		restart_nodes();
-		break;
-	case PLATFORM_DOWN:
-		cr_assert(cluster_platform_faults(&cluster, "{\"down\":true}"));
-		break;
-	}
-}
+	uint32_t i = 0;
 
-static void check_harmless(int64_t from_us)
-{
-	uint32_t answered = 0;
-	uint32_t served = 0;
-	uint32_t i;
-
-	for (i = 0; i < load.count; i++) {
-		const struct load_record *record = &load.records[i];
-
-		if (record->kind == KIND_CRASHING ||
-		    record->sent_us < from_us ||
-		    record->outcome == LOAD_ABORTED ||
-		    record->outcome == LOAD_NOT_SENT)
-			continue;
-		answered++;
-		served += record->outcome == LOAD_ANSWERED;
-	}
-	cr_expect_gt(answered, 0);
-	cr_expect_geq(served * 100, answered * SERVED_MIN_PERCENT,
-		      "%u of %u harmless requests were served", served,
-		      answered);
+	while (i < loaded.load.count &&
+	       loaded.load.records[i].sent_us < from_us)
+		i++;
+	return i;
 }
 
 static void check_crashing_request(enum disturbance disturbance)
@@ -237,16 +162,19 @@
 	memset(&state, 0, sizeof(state));
 	wait_third_crash();
 	run_until(state.third_crash_us + LEARN_US / 3);
-	disturb(disturbance);
+	if (disturbance == OTHER_NODES_RESTART)
+		restart_nodes();
+	else
+		loaded_disturb(&loaded, disturbance);
 	from_us = state.third_crash_us + LEARN_US;
 	run_until(from_us);
 	run_until(clock_monotonic_us() + OBSERVE_US);
-	load_drain(&load, WAIT_MS);
+	load_drain(&loaded.load, WAIT_MS);
 	supervise();
 	cr_expect_leq(state.later_crashes, LATER_CRASHES_MAX,
 		      "%u upstreams ended later, %u in all",
 		      state.later_crashes, state.crashes);
-	check_harmless(from_us);
+	loaded_check_served(&loaded, first_record_from(from_us), KIND_CRASHING);
 }
 
 /* Guards against a request that ends one upstream after the other, because no
@@ -269,7 +197,7 @@
 Test(crash, restarted_nodes_do_not_send_it_on, .init = start, .fini = stop,
      .timeout = 120)
 {
-	check_crashing_request(NODES_RESTART);
+	check_crashing_request(OTHER_NODES_RESTART);
 }
 
 /* Guards against a memory of such requests that needs the platform. */
@@ -288,7 +216,7 @@
 		struct fetch fetch = { .method = "GET" };
 		long status;
 
-		cluster_call(&cluster, i, "alpha", &fetch,
+		cluster_call(&loaded.cluster, i, "alpha", &fetch,
 			     "/bad?crash_us=20000");
 		status = fetch.status;
 		fetch_finish(&fetch);
@@ -313,7 +241,8 @@
 		char answer[64];
 
 		cr_assert_eq(
-			fetch_simple("POST", cluster.nodes[i].upstream_address,
+			fetch_simple("POST",
+				     loaded.cluster.nodes[i].upstream_address,
 				     "/standin/faults", "{\"corrected\":true}",
 				     answer, sizeof(answer)),
 			200);
@@ -322,7 +251,7 @@
 	while (!is_released() && clock_monotonic_us() < until_us)
 		run_until(clock_monotonic_us() + RESTART_US);
 	cr_expect(is_released());
-	load_drain(&load, WAIT_MS);
+	load_drain(&loaded.load, WAIT_MS);
 	supervise();
 	cr_expect_leq(state.later_crashes, 0);
 }
@@ -332,8 +261,8 @@
 	uint32_t count = 0;
 	uint32_t i;
 
-	for (i = 0; i < load.count; i++)
-		count += !strcmp(load.records[i].reason, "quarantined");
+	for (i = 0; i < loaded.load.count; i++)
+		count += !strcmp(loaded.load.records[i].reason, "quarantined");
 	return count;
 }
 
@@ -347,11 +276,12 @@
 
 	memset(&state, 0, sizeof(state));
 	for (i = 0; clock_monotonic_us() < until_us; i++) {
-		process_signal(&cluster.nodes[i % NODES].upstream, SIGKILL);
+		process_signal(&loaded.cluster.nodes[i % NODES].upstream,
+			       SIGKILL);
 		run_until(clock_monotonic_us() + RESTART_US / 3);
 	}
 	run_until(clock_monotonic_us() + RESTART_US);
-	load_drain(&load, WAIT_MS);
+	load_drain(&loaded.load, WAIT_MS);
 	cr_expect_gt(state.crashes, 2 * NODES);
 	cr_expect_eq(count_quarantined(), 0);
 }
--- a/test/functional/limit_test.c
+++ b/test/functional/limit_test.c
@@ -2,12 +2,9 @@
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
-#include "fleet/load.h"
 #include "functional/background.h"
-#include "functional/profile.h"
-#include "os/clock.h"
+#include "functional/loaded.h"
 
 /**
  * DOC: limit
@@ -16,88 +13,48 @@
  */
 
 enum {
-	CENTRES = 2,
-	NODES = 6,
-	WAIT_MS = BACKGROUND_WAIT_MS,
+	NODES = LOADED_NODES,
 	RATE_PER_S = 90,
-	/* Time to learn of the limit, and two windows of the rule. */
-	NAMED_MS = 3000 + 2 * 4000,
+	WARM_UP_MS = 1000,
+	WAIT_MS = BACKGROUND_WAIT_MS,
+	/* Time from which the requests count. */
 	LEARN_MS = 3000,
-	RESTART_GAP_MS = 500,
-	SERVED_MIN_PERCENT = 98,
+	/* That time, and two windows of the rule. */
+	NAMED_MS = LEARN_MS + 2 * 4000,
 	/* Of what all limits together allow, if all upstreams are limited. */
 	USED_MIN_PERCENT = 80,
 	TEXT_SIZE = 128,
 };
 
-enum disturbance {
-	UNDISTURBED,
-	DATA_CENTRE_CUT,
-	NODES_RESTART,
-	NODE_BESIDE_RESTARTS,
-	PLATFORM_DOWN,
-};
-
-static struct cluster cluster;
-static struct load load;
+static struct loaded loaded;
 
 static void start(void)
 {
-	static const struct cluster_options options = {
-		.centres = CENTRES,
-		.nodes = NODES,
-		.services = { "alpha" },
-		.profile = "default",
-		.settings = "[membership]\nprobe_interval_ms = 100\n"
-			    "probe_timeout_ms = 50\nsuspicion_ms = 300\n",
-		.upstream_args = { "--service-us", "40000" },
+	static const char *const args[] = { "--service-us", "40000", NULL };
+	static const struct load_kind read = {
+		.name = "read",
+		.method = "GET",
+		.path = "/read",
+		.service = "alpha",
+		.share = 1,
+		.deadline_ms = 1000,
 	};
-	struct load_options load_options = {
-		.kinds = { { .name = "read",
-			     .method = "GET",
-			     .path = "/read",
-			     .service = "alpha",
-			     .share = 1,
-			     .deadline_ms = 1000 } },
-		.kind_count = 1,
-		.rate_per_s = RATE_PER_S,
-		.in_flight_max = 1000,
-		.timeout_ms = WAIT_MS,
-		.seed = 1,
-		.prefix = "limit",
-	};
-	struct error err = ERROR_INIT;
-	uint32_t i;
 
-	cr_assert(cluster_start(&cluster, &options));
-	cr_assert(cluster_wait_members(&cluster, NODES, WAIT_MS));
-	cr_assert_eq(cluster_accept(&cluster, 0, "default", functional_profile),
-		     1);
-	cr_assert(cluster_wait_version(&cluster, -1, 1, WAIT_MS));
-	cr_assert(cluster_wait_routes(&cluster, WAIT_MS));
-	for (i = 0; i < NODES; i++)
-		load_options.targets[load_options.target_count++] =
-			cluster.nodes[i].caller;
-	cr_assert(load_begin(&load, &load_options, &err), "%s", err.text);
-	load_run(&load, 1000);
+	loaded_start(&loaded, args, &read, 1, RATE_PER_S);
+	load_run(&loaded.load, WARM_UP_MS);
 }
 
 static void stop(void)
 {
-	load_finish(&load);
-	cluster_stop(&cluster);
+	loaded_stop(&loaded);
 }
 
 static void name_limit(uint32_t i, const char *limit)
 {
-	char answer[TEXT_SIZE];
 	char body[TEXT_SIZE];
 
 	snprintf(body, sizeof(body), "{\"rate_limit\":\"%s\"}", limit);
-	cr_assert_eq(fetch_simple("POST", cluster.nodes[i].upstream_address,
-				  "/standin/faults", body, answer,
-				  sizeof(answer)),
-		     200);
+	loaded_post_upstream(&loaded, i, body);
 }
 
 static int64_t allowed(const char *limit)
@@ -105,76 +62,23 @@
 	return (int64_t)floor(1.5 * strtod(limit, NULL) * 4 + 5);
 }
 
-static void restart_other_nodes(void)
-{
-	uint32_t i;
-
-	for (i = 1; i < NODES; i++) {
-		process_kill(&cluster.nodes[i].process);
-		cr_assert(cluster_start_node(&cluster, i));
-		load_run(&load, RESTART_GAP_MS);
-	}
-}
-
-static void disturb(enum disturbance disturbance)
-{
-	switch (disturbance) {
-	case UNDISTURBED:
-		break;
-	case DATA_CENTRE_CUT:
-		cluster_partition(&cluster, 1, true);
-		break;
-	case NODES_RESTART:
-		restart_other_nodes();
-		break;
-	case NODE_BESIDE_RESTARTS:
-		/* Until the first requests count. */
-		load_run(&load, LEARN_MS);
-		process_kill(&cluster.nodes[0].process);
-		cr_assert(cluster_start_node(&cluster, 0));
-		break;
-	case PLATFORM_DOWN:
-		cr_assert(cluster_platform_faults(&cluster, "{\"down\":true}"));
-		break;
-	}
-}
-
-/* Requests to a node while it was down do not count. */
-static void check_served(uint32_t from)
-{
-	uint32_t answered = 0;
-	uint32_t served = 0;
-	uint32_t i;
-
-	for (i = from; i < load.count; i++) {
-		const struct load_record *record = &load.records[i];
-
-		if (record->outcome == LOAD_ABORTED ||
-		    record->outcome == LOAD_NOT_SENT)
-			continue;
-		answered++;
-		served += record->outcome == LOAD_ANSWERED;
-	}
-	cr_expect_gt(answered, 0);
-	cr_expect_geq(served * 100, answered * SERVED_MIN_PERCENT,
-		      "%u of %u requests were served", served, answered);
-}
-
 static void check_limit(const char *limit, enum disturbance disturbance)
 {
-	uint32_t from = load.count;
+	uint32_t from = loaded.load.count;
 	int64_t peak;
 
 	name_limit(0, limit);
-	load_run(&load, RESTART_GAP_MS);
-	disturb(disturbance);
-	load_run(&load, NAMED_MS);
-	load_drain(&load, WAIT_MS);
-	peak = upstream_stat(&cluster, 0, "limit_peak");
+	load_run(&loaded.load, disturbance == FIRST_NODE_RESTARTS
+				       ? LEARN_MS
+				       : LOADED_RESTART_GAP_MS);
+	loaded_disturb(&loaded, disturbance);
+	load_run(&loaded.load, NAMED_MS);
+	load_drain(&loaded.load, WAIT_MS);
+	peak = upstream_stat(&loaded.cluster, 0, "limit_peak");
 	cr_expect_leq(peak, allowed(limit),
 		      "limit %s: %lld requests in 4 s, allowed %lld", limit,
 		      (long long)peak, (long long)allowed(limit));
-	check_served(from);
+	loaded_check_served(&loaded, from, -1);
 }
 
 /* Guards against an upstream in need that gets more than it can take, while
@@ -195,14 +99,14 @@
 Test(limit, a_limit_holds_while_nodes_restart, .init = start, .fini = stop,
      .timeout = 120)
 {
-	check_limit("2.5", NODES_RESTART);
+	check_limit("2.5", OTHER_NODES_RESTART);
 }
 
 /* Guards against a limit that the node beside the upstream has forgotten. */
 Test(limit, a_limit_holds_when_the_node_beside_restarts, .init = start,
      .fini = stop, .timeout = 120)
 {
-	check_limit("2.5", NODE_BESIDE_RESTARTS);
+	check_limit("2.5", FIRST_NODE_RESTARTS);
 }
 
 Test(limit, a_limit_holds_while_the_platform_is_down, .init = start,
@@ -220,10 +124,10 @@
 
 	check_limit("0", UNDISTURBED);
 	name_limit(0, "");
-	load_run(&load, 5000);
-	total = upstream_stat(&cluster, 0, "total");
-	load_run(&load, 4000);
-	total = upstream_stat(&cluster, 0, "total") - total;
+	load_run(&loaded.load, 5000);
+	total = upstream_stat(&loaded.cluster, 0, "total");
+	load_run(&loaded.load, 4000);
+	total = upstream_stat(&loaded.cluster, 0, "total") - total;
 	cr_expect_geq(total, 4 * RATE_PER_S / NODES / 2, "%lld",
 		      (long long)total);
 }
@@ -233,19 +137,20 @@
      .timeout = 120)
 {
 	static const char *const texts[] = { "abc", "-1", "nan", "1e9", "1/s" };
-	uint32_t from = load.count;
-	int64_t total = upstream_stat(&cluster, 0, "total");
+	uint32_t from = loaded.load.count;
+	int64_t total = upstream_stat(&loaded.cluster, 0, "total");
 	size_t i;
 
 	for (i = 0; i < sizeof(texts) / sizeof(texts[0]); i++) {
 		name_limit(0, texts[i]);
-		load_run(&load, 1000);
+		load_run(&loaded.load, 1000);
 	}
-	load_drain(&load, WAIT_MS);
-	cr_expect_geq(upstream_stat(&cluster, 0, "total") - total,
+	load_drain(&loaded.load, WAIT_MS);
+	cr_expect_geq(upstream_stat(&loaded.cluster, 0, "total") - total,
 		      5 * RATE_PER_S / NODES / 2);
-	cr_expect_gt(cluster_counter(&cluster, 0, "call.notices_invalid"), 0);
-	check_served(from);
+	cr_expect_gt(
+		cluster_counter(&loaded.cluster, 0, "call.notices_invalid"), 0);
+	loaded_check_served(&loaded, from, -1);
 }
 
 /* Guards against limits that waste what the upstreams still take, if all of
@@ -260,15 +165,15 @@
 
 	for (i = 0; i < NODES; i++)
 		name_limit(i, limit);
-	load_run(&load, 3000);
-	from = load.count;
-	load_run(&load, NAMED_MS);
-	load_drain(&load, WAIT_MS);
+	load_run(&loaded.load, 3000);
+	from = loaded.load.count;
+	load_run(&loaded.load, NAMED_MS);
+	load_drain(&loaded.load, WAIT_MS);
 	for (i = 0; i < NODES; i++)
-		cr_expect_leq(upstream_stat(&cluster, i, "limit_peak"),
+		cr_expect_leq(upstream_stat(&loaded.cluster, i, "limit_peak"),
 			      allowed(limit), "upstream %u", i);
-	for (i = from; i < load.count; i++)
-		served += load.records[i].outcome == LOAD_ANSWERED;
+	for (i = from; i < loaded.load.count; i++)
+		served += loaded.load.records[i].outcome == LOAD_ANSWERED;
 	cr_expect_geq(served * 100,
 		      NODES * 6 * NAMED_MS / 1000 * USED_MIN_PERCENT,
 		      "%u served", served);
