--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -20,6 +20,7 @@
 #include "platform/heartbeat.h"
 #include "profile/head.h"
 #include "profile/profile.h"
+#include "quarantine/frames.h"
 #include "wire/codec.h"
 #include "wire/compressor.h"
 #include "wire/hub.h"
@@ -119,6 +120,25 @@
 	}
 }
 
+static void check_findings(const struct message *message)
+{
+	struct error err = ERROR_INIT;
+	struct quarantine_finding finding;
+	struct quarantine_table table;
+	int64_t age_ms;
+	uint32_t at;
+
+	quarantine_table_init(&table);
+	for (at = 0;
+	     quarantine_findings_decode(message, at, &finding, &age_ms, &err);
+	     at++) {
+		require(finding.crash_count <= QUARANTINE_CRASHES_MAX,
+			"a finding has too many crashes");
+		quarantine_table_merge(&table, &finding, age_ms * 1000, 0);
+	}
+	quarantine_table_finish(&table);
+}
+
 static void run_frame(const uint8_t *data, size_t size)
 {
 	struct error err = ERROR_INIT;
@@ -133,6 +153,7 @@
 		"input decoded, but codec_check() rejects it");
 	check_call_frame(&message);
 	check_packet(&message);
+	check_findings(&message);
 	message_finish(&message);
 }
 
