call: a late answer says nothing about the next incarnation

An answer of an upstream that left, or named a limit, may be handled after the next incarnation has been listed. It was then taken for a word of that one, which got no requests for good, or too few. Only answers to requests that were sent since the incarnation was listed count.

--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -412,6 +412,7 @@
 {
 	crash_watch_set_upstream(&server->crash_watch, address);
 	memset(&server->notice, 0, sizeof(server->notice));
+	server->upstream_since_us = clock_monotonic_us();
 	gate_clear_rate_limit(server->options.gate);
 }
 
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -104,7 +104,8 @@
 	char service[SERVICE_NAME_SIZE];
 	char upstream_text[ADDRESS_TEXT_SIZE];
 	char upstream_id[UPSTREAM_ID_SIZE];
-	uint64_t upstream_start; /* see struct announcement */
+	uint64_t upstream_start;   /* see struct announcement */
+	int64_t upstream_since_us; /* when this incarnation was listed */
 	struct serve_peer *peers;
 	struct serve_peer local;
 	struct link_pipe to_caller; /* answers to calls of this node */
--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -87,7 +87,7 @@
 }
 
 /* Reads what the upstream says of itself in an answer. An answer of another
- * incarnation at its address says nothing about it. */
+ * incarnation at its address, or of the former one, says nothing about it. */
 static void receive_notice(const struct inbound *inbound,
 			   const struct upstream_result *result,
 			   const struct http_answer *answer)
@@ -99,6 +99,7 @@
 
 	if (answer->delivery != HTTP_ANSWERED ||
 	    result->gate_feedback == GATE_FAILED ||
+	    inbound->sent_us < server->upstream_since_us ||
 	    (names->wrong_target_status &&
 	     answer->status == names->wrong_target_status))
 		return;
