quarantine: tell callers to return after a turn at the earliest; resend under changes

A caller that was refused shortly before a trial was told to return within milliseconds, although the trial is mostly another node's. And findings that change more often than once a second put the next message to a random node off for ever. Found by reading.

--- a/src/quarantine/net.c
+++ b/src/quarantine/net.c
@@ -33,7 +33,7 @@
 };
 
 COUNTER(crashes, "quarantine.crashes",
-	"Crashes of the own upstream while requests ran");
+	"Times that the own upstream was found to have ended");
 COUNTER(suspected, "quarantine.suspected",
 	"Requests that ran when the own upstream crashed");
 COUNTER(blocked, "quarantine.blocked",
@@ -130,8 +130,10 @@
 {
 	int64_t interval_us =
 		now(net) - net->changed_us < NEW_US ? RESEND_NEW_US : RESEND_US;
+	int64_t due_us = now(net) + interval_us;
 
-	timer_set(net->options.loop, &net->timer, now(net) + interval_us);
+	if (!timer_is_set(&net->timer) || due_us < net->timer.at_us)
+		timer_set(net->options.loop, &net->timer, due_us);
 }
 
 static void log_change(const struct quarantine_net *net,
@@ -371,7 +373,8 @@
 		.retry_after_ms = RETRY_AFTER_MAX_MS,
 	};
 
-	if (wait_ms < 0)
+	/* The turn for the trial may be another node's. */
+	if (wait_ms < TRIAL_TURN_US / US_PER_MS)
 		wait_ms = TRIAL_TURN_US / US_PER_MS;
 	if (wait_ms < RETRY_AFTER_MAX_MS)
 		decision.retry_after_ms = (uint32_t)wait_ms;
