--- a/test/functional/target_test.c
+++ b/test/functional/target_test.c
@@ -250,24 +250,31 @@
 	return false;
 }
 
-static int64_t counter(int node, const char *name)
+/* Returns a number of a JSON answer; @section is NULL at its top level. */
+static int64_t read_number(const char *address, const char *path,
+			   const char *section, const char *name)
 {
 	struct fetch fetch = { .method = "GET" };
 	int64_t value = -1;
 	json_t *json;
 
-	snprintf(fetch.url, sizeof(fetch.url), "http://%s/v1/counters",
-		 target.nodes[node].operator_address);
+	snprintf(fetch.url, sizeof(fetch.url), "http://%s%s", address, path);
 	if (fetch_run(&fetch)) {
 		json = json_loads(fetch.answer, 0, NULL);
 		value = json_integer_value(json_object_get(
-			json_object_get(json, "counters"), name));
+			section ? json_object_get(json, section) : json, name));
 		json_decref(json);
 	}
 	fetch_finish(&fetch);
 	return value;
 }
 
+static int64_t counter(int node, const char *name)
+{
+	return read_number(target.nodes[node].operator_address, "/v1/counters",
+			   "counters", name);
+}
+
 static bool wait_counter(int node, const char *name, int64_t value)
 {
 	int64_t until_us = clock_monotonic_us() + WAIT_MS * US_PER_MS;
@@ -322,20 +329,8 @@
 
 static int64_t arrivals_after_leaving(void)
 {
-	struct fetch fetch = { .method = "GET" };
-	int64_t value = -1;
-	json_t *json;
-
-	snprintf(fetch.url, sizeof(fetch.url), "http://%s/standin/stats",
-		 target.upstream_address);
-	if (fetch_run(&fetch)) {
-		json = json_loads(fetch.answer, 0, NULL);
-		value = json_integer_value(
-			json_object_get(json, "after_leaving"));
-		json_decref(json);
-	}
-	fetch_finish(&fetch);
-	return value;
+	return read_number(target.upstream_address, "/standin/stats", NULL,
+			   "after_leaving");
 }
 
 /* Sends heartbeats and calls through the node of the caller for a while. */
