--- a/test/functional/target_test.c
+++ b/test/functional/target_test.c
@@ -250,7 +250,8 @@
 	return false;
 }
 
-/* Returns a number of a JSON answer; @section is NULL at its top level. */
+/* Returns a number of a JSON answer, -1 without an answer; @section is NULL at
+ * its top level. */
 static int64_t read_number(const char *address, const char *path,
 			   const char *section, const char *name)
 {
@@ -541,19 +542,7 @@
  * does not answer. */
 static int64_t second_run_count(void)
 {
-	struct fetch fetch = { .method = "GET" };
-	int64_t total = -1;
-	json_t *json;
-
-	snprintf(fetch.url, sizeof(fetch.url), "http://%s/standin/stats",
-		 second.address);
-	if (fetch_run(&fetch)) {
-		json = json_loads(fetch.answer, 0, NULL);
-		total = json_integer_value(json_object_get(json, "total"));
-		json_decref(json);
-	}
-	fetch_finish(&fetch);
-	return total;
+	return read_number(second.address, "/standin/stats", NULL, "total");
 }
 
 static void write_rollout_order(const char *version)
