call: log each failed probe for the end of an upstream

A probe that ended with another errno than a refusal, and one whose watch could not start, were dropped without a line. The behaviour is unchanged: the crash is then confirmed by refused connections of requests, or not at all.

--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -62,6 +62,9 @@
 		crash_watch_refused(crash_watch);
 	else if (!result)
 		probe_succeeded(crash_watch);
+	else
+		log_warn(component, "crash_probe_failed",
+			 LOG_TEXT("reason", strerror(result)));
 }
 
 static void open_probe(struct crash_watch *crash_watch)
@@ -78,8 +81,11 @@
 	}
 	if (!watch_start(&crash_watch->watch, crash_watch->options.loop,
 			 crash_watch->fd, LOOP_WRITE, probe_ended, crash_watch,
-			 &err))
+			 &err)) {
+		log_warn(component, "crash_probe_failed",
+			 LOG_TEXT("reason", err.text));
 		close_probe(crash_watch);
+	}
 }
 
 static void retry_expired(struct timer *timer, void *data)
