node: decide to end at the end of a turn

A request on a kept connection to dc-1-n20 was read and got no answer; the connection ended 35 ms after it was sent, with the end of the process (drained 18.407, stopped 18.531). No line about work left open.

Cause: the timer that ends a drained process looked for unanswered requests when it expired. Calls of the same turn came after it, and if one took more than 5 ms (here: the process had to wait for a core) the loop polled again within the turn, read a request and queued its handler for the next turn, which did not come. The connection was closed with all bytes read, so the caller saw that it was read.

Now the decision is an idle call, the last one of a turn, after which nothing is read. What was read before is counted as unanswered, and the process waits for it as before. The test node_exit/* failed with the decision in the timer ("unanswered 1, answered 0") and passes. The end of the process moves into node/exit.c, so that it can be tested without a node.

--- a/src/node/node.c
+++ b/src/node/node.c
@@ -201,9 +201,7 @@
 	 * are answered until the process ends. */
 	http_server_stop_accepting(&node->callers);
 	gossip_leave(&node->gossip);
-	leaving_drained(&node->leaving_times, loop_now_us(&node->loop));
-	timer_set(&node->loop, &node->exit_timer,
-		  loop_now_us(&node->loop) + LEAVING_DATAGRAMS_MS * US_PER_MS);
+	node_exit_drained(&node->exit);
 }
 
 static void start_quarantine(struct node *node)
@@ -361,34 +359,45 @@
 				    &operators, err);
 }
 
-static void exit_timer_expired(struct timer *timer, void *data)
+/* The next reader can start at once if the lease is released, and otherwise
+ * only when the lease expires. The wait for the store is bounded, since the
+ * store may be down. A caller whose request arrives on a connection that is
+ * still open receives its refusal. */
+static struct leaving_open open_work(void *data)
 {
-	struct node *node = data;
-	/* The next reader can start at once if the lease is released, and
-	 * otherwise only when the lease expires. The wait for the store is
-	 * bounded, since the store may be down. A caller whose request arrives
-	 * on a connection that is still open receives its refusal. */
+	const struct node *node = data;
 	const struct leaving_open open = {
 		.store = !node_source_is_idle(node),
 		.callers = node->callers.exchange_count > 0,
 	};
-	int64_t now_us = loop_now_us(&node->loop);
-	int64_t until_us = leaving_until_us(&node->leaving_times, &open);
-	int64_t next_us = now_us + LEAVING_DATAGRAMS_MS * US_PER_MS;
 
-	if (now_us < until_us) {
-		timer_set(&node->loop, timer,
-			  next_us < until_us ? next_us : until_us);
-		return;
-	}
-	/* Logs the work that the shutdown leaves incomplete. */
-	if (open.store || open.callers)
+	return open;
+}
+
+/* Logs the work that the shutdown leaves incomplete. */
+static void exit_ended(const struct leaving_open *left, void *data)
+{
+	struct node *node = data;
+
+	if (left->store || left->callers)
 		log_warn(component, "left_open",
 			 LOG_NUMBER("unanswered", node->callers.exchange_count),
-			 LOG_NUMBER("store", open.store));
+			 LOG_NUMBER("store", left->store));
 	node->stopped = true;
 }
 
+static void init_exit(struct node *node)
+{
+	const struct node_exit_options options = {
+		.loop = &node->loop,
+		.open = open_work,
+		.ended = exit_ended,
+		.data = node,
+	};
+
+	node_exit_init(&node->exit, &options);
+}
+
 static void refresh_metrics(struct timer *timer, void *data)
 {
 	struct node *node = data;
@@ -439,7 +448,7 @@
 		return false;
 	node_views_init(node);
 	node_connect_operator(node);
-	timer_init(&node->exit_timer, exit_timer_expired, node);
+	init_exit(node);
 	timer_init(&node->linger, linger_expired, node);
 	timer_init(&node->keep_upstream, keep_upstream_expired, node);
 	timer_init(&node->metrics_timer, refresh_metrics, node);
@@ -484,7 +493,7 @@
 
 	log_info(component, "leaving");
 	node->leaving = true;
-	leaving_begin(&node->leaving_times, from->linger_ms, from->drain_ms,
+	leaving_begin(&node->exit.times, from->linger_ms, from->drain_ms,
 		      now_us);
 	node_source_withdraw(node);
 	if (from->keep_upstream_ms)
@@ -501,7 +510,7 @@
 	ignore_signals();
 	timer_cancel(&node->loop, &node->metrics_timer);
 	node_reload_finish(node);
-	timer_cancel(&node->loop, &node->exit_timer);
+	node_exit_finish(&node->exit);
 	timer_cancel(&node->loop, &node->linger);
 	timer_cancel(&node->loop, &node->keep_upstream);
 	operator_server_finish(&node->operator_server);
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -9,7 +9,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "membership/gossip.h"
-#include "node/leaving.h"
+#include "node/exit.h"
 #include "node/lookup.h"
 #include "node/settings.h"
 #include "operator/server.h"
@@ -53,18 +53,17 @@
  *	the first query
  * @settings_timer: timer that checks the settings file for changes
  * @settings_stamp: stamp of the settings file as last read
- * @exit_timer: timer that ends the process after all calls have drained
+ * @exit: ends the process after all calls have drained
  * @linger: timer of the linger time; at its expiry, @closing is set and the
  *	calls begin to drain
  * @keep_upstream: timer that runs while the upstream gets new work during a
  *	graceful shutdown; sets @closing at its expiry
  * @serving_since_us: time since which the local upstream has been serving, in
  *	microseconds; 0 if the upstream is not serving
- * @leaving_times: times of the graceful shutdown; valid if @leaving is true
  * @leaving: true after SIGTERM or SIGINT. The phases that follow: the upstream
  *	still gets new work until @keep_upstream or @linger expires, or none if
  *	keep_upstream_ms is 0; @closing; the calls drain after @linger has
- *	expired; @exit_timer; @stopped
+ *	expired; @exit; @stopped
  * @closing: true if the node is leaving and the upstream gets no new work
  * @stopped: true if the process may end
  */
@@ -103,11 +102,10 @@
 	struct timer metrics_timer;
 	struct timer settings_timer;
 	struct file_stamp settings_stamp;
-	struct timer exit_timer;
+	struct node_exit exit;
 	struct timer linger;
 	struct timer keep_upstream;
 	int64_t serving_since_us;
-	struct leaving leaving_times;
 	bool leaving;
 	bool closing;
 	bool stopped;
