profile, membership: readers step in when most nodes are lost at once

Sum of the waits from the store to the table, on paper, for 27 nodes of a data centre: 1,510 ms until a lost reader counts as such, 60 ms for each of the next ranks up to the eighth, 10 s for all later ones, 250 ms to read and take over, 450 ms to the last node. The bound is 2,500 ms. With the first eight ranks alive it holds (2.3 s); it does not if they are lost.

Cause: ranks are computed from the live members, and suspects count as live. While more than half of the members seem lost, failure detection marks nobody unreachable (its own link may be at fault), and its probes slow down. So nodes that were frozen, cut off or without power kept the first ranks, and the nodes left waited for 10 s. Class: waits that were each bounded alone, and added up when their reasons came together.

Ruled out: the watch, the spread and the keeper alone.

Why it works: a node that does not answer probes gives up its rank within a probe, instead of when it is marked unreachable. Where detection is slow because so many are lost, a failed probe is the sign, and all ranks step in within 0.9 s, twice as many with each step. While all nodes respond, nothing changes: ranks from the ninth on wait 10 s in an outage of the store, as each reader is sent every version whole.

--- a/src/membership/members.h
+++ b/src/membership/members.h
@@ -823,6 +823,20 @@
  */
 uint32_t members_rank(const struct members *members, const char *duty);
 
+/**
+ * members_responsive_rank() - Returns the rank among members that respond
+ *
+ * Like members_rank(), but does not count suspects. While most members seem
+ * lost, they stay suspects for long; a duty that must not wait for them is
+ * assigned by this rank. Several nodes may have the same rank for a moment.
+ */
+uint32_t members_responsive_rank(const struct members *members,
+				 const char *duty);
+
+/** members_many_lost() - Returns true if many members of the data centre do not
+ * respond. */
+bool members_many_lost(const struct members *members);
+
 /**
  * members_first() - Returns the live member that is first for a duty
  *
--- a/src/membership/table.c
+++ b/src/membership/table.c
@@ -12,6 +12,11 @@
 	/* Fitness takes the high bits of a score; the low bits decide between
 	 * members of equal fitness. */
 	FITNESS_SHIFT = 60,
+	/* One member in this number counts as many. */
+	MANY_LOST_SHARE = 4,
+	/* A probe that failed shows it earlier than the members that are found
+	 * lost one by one. */
+	MANY_LOST_HEALTH = 1,
 };
 
 struct data_centre *table_centre(const struct members *members, uint64_t id)
@@ -405,7 +410,8 @@
 	return table_live(member) && member->record.state != UPSTREAM_LEAVING;
 }
 
-uint32_t members_rank(const struct members *members, const char *duty)
+static uint32_t rank_of_self(const struct members *members, const char *duty,
+			     bool with_suspects)
 {
 	uint64_t own = duty_score(duty, members->self);
 	const struct data_centre *home = members->home;
@@ -414,13 +420,35 @@
 
 	if (!eligible(members->self))
 		return UINT32_MAX;
-	for (i = 0; i < home->count; i++)
-		rank += home->members[i] != members->self &&
-			eligible(home->members[i]) &&
-			duty_score(duty, home->members[i]) > own;
+	for (i = 0; i < home->count; i++) {
+		const struct member *member = home->members[i];
+
+		if (member == members->self || !eligible(member) ||
+		    (!with_suspects && member->status == MEMBER_SUSPECT))
+			continue;
+		rank += duty_score(duty, member) > own;
+	}
 	return rank;
 }
 
+uint32_t members_rank(const struct members *members, const char *duty)
+{
+	return rank_of_self(members, duty, true);
+}
+
+bool members_many_lost(const struct members *members)
+{
+	return members->health >= MANY_LOST_HEALTH ||
+	       members->not_alive_count * MANY_LOST_SHARE >=
+		       members->home->count;
+}
+
+uint32_t members_responsive_rank(const struct members *members,
+				 const char *duty)
+{
+	return rank_of_self(members, duty, false);
+}
+
 /*
  * Selects up to @most members of a data centre with the highest scores for a
  * duty, in descending order, at most MEMBERS_LINKS_MAX.
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -131,12 +131,14 @@
 	members_source_read(&node->gossip.members,
 			    reader_contact_us(&node->reader));
 	reader_set_nodes(&node->reader,
-			 members_live_count(&node->gossip.members));
+			 members_live_count(&node->gossip.members),
+			 members_many_lost(&node->gossip.members));
 	reader_set_source_read(&node->reader,
 			       node->gossip.members.source_read_us);
 	if (!lookup_is_isolated(&node->lookup) || grace_is_over(node))
 		reader_set_rank(&node->reader,
-				gossip_rank(&node->gossip, "reader"));
+				members_responsive_rank(&node->gossip.members,
+							"reader"));
 	lookup_check(&node->lookup);
 }
 
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -508,9 +508,9 @@
 	make_due_calls(reader);
 }
 
-void reader_set_nodes(struct reader *reader, uint32_t nodes)
+void reader_set_nodes(struct reader *reader, uint32_t nodes, bool many_lost)
 {
-	reader_core_set_nodes(&reader->core, nodes);
+	reader_core_set_nodes(&reader->core, nodes, many_lost);
 }
 
 void reader_set_source_read(struct reader *reader, int64_t at_us)
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -143,7 +143,7 @@
 void reader_activate(struct reader *reader);
 
 /** reader_set_nodes() - see reader_core_set_nodes(). */
-void reader_set_nodes(struct reader *reader, uint32_t nodes);
+void reader_set_nodes(struct reader *reader, uint32_t nodes, bool many_lost);
 
 /** reader_set_source_read() - see reader_core_set_source_read(). */
 void reader_set_source_read(struct reader *reader, int64_t at_us);
--- a/src/profile/reader_core.c
+++ b/src/profile/reader_core.c
@@ -16,7 +16,7 @@
 {
 	memset(core, 0, sizeof(*core));
 	core->election = election;
-	reader_core_set_nodes(core, 1);
+	reader_core_set_nodes(core, 1, false);
 	lease_init(&core->lease, options, seed);
 	random_init(&core->random, seed + 1);
 	backoff_init(&core->head_backoff, HEAD_BACKOFF_BASE_MS,
@@ -40,6 +40,21 @@
 		lease_withdraw(&core->lease, now_us);
 }
 
+/* Delay of a rank from READER_RANK_STEPS_MAX on. If many nodes do not respond,
+ * those of all lower ranks may be lost: twice as many ranks follow with each
+ * step, so that the last rank does not wait for long. */
+static int64_t high_rank_delay_ms(const struct reader_core *core)
+{
+	uint32_t steps = READER_RANK_STEPS_MAX;
+	uint32_t ranks = READER_RANK_STEPS_MAX;
+
+	if (!core->many_lost || core->rank == UINT32_MAX)
+		return READER_HIGH_RANK_DELAY_MS;
+	for (; core->rank >= 2 * ranks; ranks *= 2)
+		steps++;
+	return (int64_t)steps * READER_RANK_STEP_MS;
+}
+
 /* Time at which a node that is not among the first ranks becomes active. */
 static int64_t activate_at_us(const struct reader_core *core)
 {
@@ -48,7 +63,7 @@
 	if (core->rank < READER_RANK_STEPS_MAX)
 		wait_ms += (int64_t)core->rank * READER_RANK_STEP_MS;
 	else
-		wait_ms += READER_HIGH_RANK_DELAY_MS;
+		wait_ms += high_rank_delay_ms(core);
 	return core->source_read_us + wait_ms * US_PER_MS;
 }
 
@@ -69,8 +84,10 @@
 	return lease_holds(&core->lease, now_us);
 }
 
-void reader_core_set_nodes(struct reader_core *core, uint32_t nodes)
+void reader_core_set_nodes(struct reader_core *core, uint32_t nodes,
+			   bool many_lost)
 {
+	core->many_lost = many_lost;
 	core->stale_ms = READER_STALE_MS;
 	for (; nodes > 1; nodes = (nodes + 1) / 2)
 		core->stale_ms += READER_STALE_ROUND_MS;
--- a/src/profile/reader_core.h
+++ b/src/profile/reader_core.h
@@ -47,12 +47,13 @@
 	READER_STALE_ROUND_MS = 120,
 	READER_RANK_STEP_MS = 60,
 	READER_RANK_STEPS_MAX = 8,
-	/* By rank: delay of the ranks from READER_RANK_STEPS_MAX on. It is
-	 * unlikely that none of the lower ranks reaches the service: if the
-	 * service refuses a third of the nodes, it refuses all of them once in
-	 * five thousand times. If all nodes of a data centre were active, the
-	 * service would send each of them every version in full; on links of
-	 * 5 Mbit/s, calls were delayed by 0.4 s. */
+	/* By rank: delay of the ranks from READER_RANK_STEPS_MAX on, unless
+	 * many nodes do not respond. It is unlikely that none of the lower
+	 * ranks reaches the service: if the service refuses a third of the
+	 * nodes, it refuses all of them once in five thousand times. If all
+	 * nodes of a data centre were active, the service would send each of
+	 * them every version in full; on links of 5 Mbit/s, calls were delayed
+	 * by 0.4 s. */
 	READER_HIGH_RANK_DELAY_MS = 10 * 1000,
 	/* By rank: the first ranks retry more often while the service does not
 	 * answer, so that the others learn of its recovery before they try. */
@@ -116,6 +117,7 @@
  *	which the service counts as unread
  * @source_read_us: READER_BY_RANK: time at which any node of the data centre
  *	last read the service
+ * @many_lost: READER_BY_RANK: see reader_core_set_nodes()
  * @active_until_us: READER_BY_RANK: the node is an active reader until then
  * @contact_us: time at which the service last answered this node, 0 for never
  * @answered: the last watch or probe was answered
@@ -137,6 +139,7 @@
 	uint32_t rank;
 	int64_t stale_ms;
 	int64_t source_read_us;
+	bool many_lost;
 	int64_t active_until_us;
 	int64_t contact_us;
 	bool answered;
@@ -168,8 +171,11 @@
 /**
  * reader_core_set_nodes() - sets the size of the data centre
  * @nodes: number of live members, with this node
+ * @many_lost: many of them do not respond; the nodes of the first ranks may be
+ *	among them
  */
-void reader_core_set_nodes(struct reader_core *core, uint32_t nodes);
+void reader_core_set_nodes(struct reader_core *core, uint32_t nodes,
+			   bool many_lost);
 
 /**
  * reader_core_set_source_read() - records a read by any node of the data centre
--- a/src/profile/reader_rank_test.c
+++ b/src/profile/reader_rank_test.c
@@ -13,7 +13,7 @@
 
 	lease_options_default(&lease);
 	reader_core_init(&core, READER_BY_RANK, &lease, 1);
-	reader_core_set_nodes(&core, 3);
+	reader_core_set_nodes(&core, 3, false);
 	reader_core_set_source_read(&core, 1);
 	reader_core_set_rank(&core, rank, 0);
 }
@@ -48,26 +48,36 @@
 		int64_t unread_ms;
 		uint32_t rank;
 		enum reader_action action;
+		bool many_lost;
 	} cases[] = {
-		{ 0, 0, READER_WATCH_HEAD },
-		{ 0, 1, READER_NOTHING },
-		{ 1150, 1, READER_NOTHING },
-		{ 1210, 1, READER_WATCH_HEAD },
-		{ 1210, 2, READER_NOTHING },
-		{ 1270, 2, READER_WATCH_HEAD },
-		{ 1569, 7, READER_NOTHING },
-		{ 1570, 7, READER_WATCH_HEAD },
-		{ 11149, 8, READER_NOTHING },
-		{ 11150, 8, READER_WATCH_HEAD },
-		{ 11149, 700, READER_NOTHING },
-		{ 11150, 700, READER_WATCH_HEAD },
-		{ 11150, UINT32_MAX, READER_WATCH_HEAD },
+		{ 0, 0, READER_WATCH_HEAD, false },
+		{ 0, 1, READER_NOTHING, false },
+		{ 1150, 1, READER_NOTHING, false },
+		{ 1210, 1, READER_WATCH_HEAD, false },
+		{ 1210, 2, READER_NOTHING, false },
+		{ 1270, 2, READER_WATCH_HEAD, false },
+		{ 1569, 7, READER_NOTHING, false },
+		{ 1570, 7, READER_WATCH_HEAD, false },
+		{ 11149, 8, READER_NOTHING, false },
+		{ 11150, 8, READER_WATCH_HEAD, false },
+		{ 11149, 700, READER_NOTHING, false },
+		{ 11150, 700, READER_WATCH_HEAD, false },
+		{ 11150, UINT32_MAX, READER_WATCH_HEAD, false },
+		{ 1570, 7, READER_WATCH_HEAD, true },
+		{ 1629, 8, READER_NOTHING, true },
+		{ 1630, 8, READER_WATCH_HEAD, true },
+		{ 1630, 16, READER_NOTHING, true },
+		{ 1690, 31, READER_WATCH_HEAD, true },
+		{ 1989, 700, READER_NOTHING, true },
+		{ 1990, 700, READER_WATCH_HEAD, true },
+		{ 11149, UINT32_MAX, READER_NOTHING, true },
 	};
 	const int64_t read_us = 5 * 1000 * US_PER_MS;
 	size_t i;
 
 	for (i = 0; i < ARRAY_SIZE(cases); i++) {
 		init_core(cases[i].rank);
+		reader_core_set_nodes(&core, 3, cases[i].many_lost);
 		reader_core_set_source_read(&core, read_us);
 		cr_expect_eq(next_at(read_us + cases[i].unread_ms * US_PER_MS),
 			     cases[i].action, "case %zu", i);
@@ -87,7 +97,7 @@
 
 	init_core(1);
 	for (i = 0; i < ARRAY_SIZE(cases); i++) {
-		reader_core_set_nodes(&core, cases[i].nodes);
+		reader_core_set_nodes(&core, cases[i].nodes, false);
 		cr_expect_eq(core.stale_ms, cases[i].stale_ms, "%u: %lld",
 			     cases[i].nodes, (long long)core.stale_ms);
 	}
--- a/src/spread/peers_test.c
+++ b/src/spread/peers_test.c
@@ -12,6 +12,7 @@
 struct mesh mesh;
 struct peer peers[MESH_NODES_MAX];
 struct spread_options peers_options;
+struct members_options peers_membership;
 struct head platform;
 static int texts[VERSIONS_MAX];
 static int text_count;
@@ -174,6 +175,8 @@
 	uint32_t i;
 
 	mesh_init(&mesh, nodes, centres, seed);
+	peers_membership.seed = mesh.options.seed;
+	mesh.options = peers_membership;
 	mesh.app = (struct mesh_app){ on_event, on_frame, on_tick, next_us };
 	head_init(&platform);
 	text_count = 0;
@@ -184,6 +187,7 @@
 void peers_setup(void)
 {
 	spread_options_init(&peers_options);
+	members_options_init(&peers_membership);
 }
 
 void peers_end(void)
--- a/src/spread/peers_test.h
+++ b/src/spread/peers_test.h
@@ -27,6 +27,7 @@
 extern struct mesh mesh;
 extern struct peer peers[MESH_NODES_MAX];
 extern struct spread_options peers_options;
+extern struct members_options peers_membership;
 extern struct head platform; /* newest accepted head */
 
 /** peers_setup() - set default options; peers_begin() - start all nodes. */
