call: a failed answer is no completed run of a request that crashes upstreams

One of the ways that the findings about it can be lost, found by reading and shown by the test: any answer of an upstream counted as a completed run, a 500 as well. An upstream that fails part of its requests answers such a request before it runs, and that discarded all crashes, at all nodes: three more upstreams end, and again after the next 500.

The test (two of its rows) failed before: "an upstream fails it between the ends", "... after the ends".

Now only an answer below 500 is a completion. What this costs: a harmless request that upstreams always fail with 5xx, and that runs at three ends, is blocked until the trial; its callers are answered 503 instead of 500 meanwhile.

--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -150,10 +150,10 @@
 
 void crash_watch_answered(struct crash_watch *crash_watch,
 			  const struct fingerprint *fingerprint,
-			  int64_t started_us)
+			  int64_t started_us, bool completed)
 {
 	losses_answered(&crash_watch->losses, started_us);
-	if (crash_watch->options.quarantine)
+	if (completed && crash_watch->options.quarantine)
 		quarantine_net_completed(crash_watch->options.quarantine,
 					 fingerprint);
 }
--- a/src/call/crash_watch.h
+++ b/src/call/crash_watch.h
@@ -65,12 +65,14 @@
 		      const struct fingerprint *fingerprint);
 
 /**
- * crash_watch_answered() - the upstream has completed a request
+ * crash_watch_answered() - the upstream has answered a request
  * @started_us: time at which the request was sent to the upstream
+ * @completed: the answer shows that the request ran to its end; a failure does
+ *	not, as the upstream may have given up before the part that crashes it
  */
 void crash_watch_answered(struct crash_watch *crash_watch,
 			  const struct fingerprint *fingerprint,
-			  int64_t started_us);
+			  int64_t started_us, bool completed);
 
 /** crash_watch_refused() - the upstream has refused a connection. */
 void crash_watch_refused(struct crash_watch *crash_watch);
--- a/src/call/crash_watch_test.c
+++ b/src/call/crash_watch_test.c
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
+#include <stdio.h>
 
 #include "call/inbound.h"
 #include "call/path_test.h"
+#include "membership/gossip.h"
 #include "os/clock.h"
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -101,3 +103,139 @@
 	}
 	path_teardown();
 }
+
+/* What an upstream does, as the node beside it sees it. */
+enum step {
+	STEP_NONE,
+	STEP_LOSES, /* the run ends without an answer */
+	STEP_ANSWERS,
+	STEP_FAILS, /* answers with 500 */
+	STEP_ENDS,  /* refuses connections, and starts again */
+};
+
+enum { STEPS_MAX = 12 };
+
+static struct quarantine_net quarantine;
+static struct gossip alone; /* a node that knows no other node */
+
+static void set_incarnation(uint64_t incarnation)
+{
+	struct error err = ERROR_INIT;
+	struct address address;
+	char id[32];
+
+	snprintf(id, sizeof(id), "i-%llu", (unsigned long long)incarnation);
+	address_parse("127.0.0.1:80", &address, &err);
+	calls_set_upstream(&path.b.calls, "s", id, incarnation, &address);
+}
+
+static void watching_setup(void)
+{
+	const struct quarantine_options options = { .loop = &path.loop,
+						    .hub = &path.b.hub,
+						    .gossip = &alone,
+						    .enabled = true };
+
+	path_setup();
+	quarantine_net_init(&quarantine, &options);
+	path.b.calls.server.crash_watch.options.quarantine = &quarantine;
+	set_incarnation(1);
+}
+
+static void watching_teardown(void)
+{
+	quarantine_net_finish(&quarantine);
+	path_teardown();
+}
+
+static void observe(const struct fingerprint *fingerprint, int64_t sent_us,
+		    unsigned int status)
+{
+	const struct inbound inbound = { .server = &path.b.calls.server,
+					 .fingerprint = *fingerprint,
+					 .sent_us = sent_us };
+	const struct http_answer answer = {
+		.delivery = status ? HTTP_ANSWERED : HTTP_MAY_BE_SENT,
+		.status = status,
+		.delimited = true,
+	};
+	const struct upstream_result result = { .answered = status != 0,
+						.gate_feedback = GATE_FAILED };
+
+	upstream_observe(&inbound, &result, &answer);
+}
+
+static void end_upstream(uint64_t next_incarnation)
+{
+	struct crash_watch *watch = &path.b.calls.server.crash_watch;
+	uint32_t i;
+
+	for (i = 0; i < CRASH_REFUSED_MAX; i++)
+		crash_watch_refused(watch);
+	set_incarnation(next_incarnation);
+}
+
+/* A request that crashes upstreams would be sent on, or a harmless one be
+ * blocked, because of what the node beside an upstream makes of its end. */
+Test(crash_watch, only_what_an_upstream_ran_and_never_completes_is_blocked,
+     .init = watching_setup, .fini = watching_teardown)
+{
+	static const struct {
+		const char *name;
+		enum step steps[STEPS_MAX];
+		enum quarantine_state state;
+	} cases[] = {
+		{ "three ends",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_LOSES,
+		    STEP_ENDS },
+		  QUARANTINE_BLOCKED },
+		{ "runs are lost, and the upstream goes on",
+		  { STEP_LOSES, STEP_ANSWERS, STEP_LOSES, STEP_ANSWERS,
+		    STEP_LOSES, STEP_ANSWERS, STEP_ENDS },
+		  QUARANTINE_NONE },
+		{ "it completes between the ends",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_ANSWERS,
+		    STEP_LOSES, STEP_ENDS },
+		  QUARANTINE_NONE },
+		{ "an upstream fails it between the ends",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_FAILS,
+		    STEP_LOSES, STEP_ENDS },
+		  QUARANTINE_BLOCKED },
+		{ "an upstream fails it after the ends",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_LOSES,
+		    STEP_ENDS, STEP_FAILS },
+		  QUARANTINE_BLOCKED },
+	};
+	uint64_t incarnation = 1;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct fingerprint fingerprint = { 100 + i, 200 + i };
+		uint32_t at;
+
+		for (at = 0; at < STEPS_MAX; at++) {
+			int64_t now_us = clock_monotonic_us();
+
+			switch (cases[i].steps[at]) {
+			case STEP_NONE:
+				break;
+			case STEP_LOSES:
+				observe(&fingerprint, now_us, 0);
+				break;
+			case STEP_ANSWERS:
+				observe(&fingerprint, now_us, 200);
+				break;
+			case STEP_FAILS:
+				observe(&fingerprint, now_us, 500);
+				break;
+			case STEP_ENDS:
+				end_upstream(++incarnation);
+				break;
+			}
+		}
+		cr_expect_eq(quarantine_table_state(&quarantine.table,
+						    &fingerprint,
+						    loop_now_us(&path.loop)),
+			     cases[i].state, "%s", cases[i].name);
+	}
+}
--- a/src/call/path_relay_test.c
+++ b/src/call/path_relay_test.c
@@ -55,7 +55,7 @@
 
 static void relay_accept(struct watch *watch, int ready, void *data)
 {
-	struct relay *relay = data;
+	struct path_relay *relay = data;
 	struct error err = ERROR_INIT;
 	struct address from;
 	int fd = net_accept(relay->fd, &from);
@@ -80,7 +80,7 @@
 	net_close(fd);
 }
 
-void relay_start(struct relay *relay)
+void relay_start(struct path_relay *relay)
 {
 	struct error err = ERROR_INIT;
 	int i;
@@ -94,7 +94,7 @@
 			      relay_accept, relay, &err));
 }
 
-void relay_stop(struct relay *relay)
+void relay_stop(struct path_relay *relay)
 {
 	int i;
 
--- a/src/call/path_test.h
+++ b/src/call/path_test.h
@@ -70,13 +70,13 @@
 };
 
 struct relay_conn {
-	struct relay *relay;
+	struct path_relay *relay;
 	int fds[2];
 	struct watch watches[2];
 	bool silent[2]; /* reset, but never read */
 };
 
-struct relay {
+struct path_relay {
 	struct loop *loop;
 	struct address address;
 	struct address to;
@@ -117,7 +117,7 @@
 	struct http_client client; /* of the callers */
 	struct path_node a;	   /* local node of the callers */
 	struct path_node b;	   /* local node of the upstream */
-	struct relay relay;	   /* from a to b */
+	struct path_relay relay;   /* from a to b */
 	struct fake_upstream upstream;
 	struct config *config;
 	struct path_result results[PATH_RESULTS];
@@ -133,8 +133,8 @@
 void fake_upstream_stop(struct fake_upstream *upstream);
 
 /* path_relay_test.c */
-void relay_start(struct relay *relay);
-void relay_stop(struct relay *relay);
+void relay_start(struct path_relay *relay);
+void relay_stop(struct path_relay *relay);
 
 /* Start and stop the whole fixture; a has a route to the upstream of b. */
 void path_setup(void);
--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -9,6 +9,8 @@
 
 static const char component[] = "call";
 
+enum { STATUS_SERVER_ERROR = 500 };
+
 COUNTER(bad_notices, "call.notices_invalid",
 	"Answers with an unreadable limit or notice of leaving");
 
@@ -127,7 +129,8 @@
 
 	if (result->answered)
 		crash_watch_answered(&server->crash_watch,
-				     &inbound->fingerprint, inbound->sent_us);
+				     &inbound->fingerprint, inbound->sent_us,
+				     answer->status < STATUS_SERVER_ERROR);
 	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out &&
 		 server->options.gate->state != GATE_LEAVING)
 		crash_watch_lost(&server->crash_watch, &inbound->fingerprint);
