call: an upstream that crashes beside a stopping node counts

What callers saw (BUDGET): a request that had ended three upstreams was sent on. A second way found by reading: a node that stops closes its gate in the same state as for an upstream that leaves, and lost runs at an upstream that leaves are not counted. A node works on for up to 5 s of its stop. While nodes are stopped in turn, each end beside a stopping node was lost for the findings.

The test's row "the node stops before the third end" failed before (suspect instead of blocked); "two upstreams end as they leave" shows that an end that was announced still does not count.

Now the server knows of the upstream itself whether it leaves; without an announcement the last state holds, as an upstream that has ended is no longer announced when its last connections are found lost.

--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -263,6 +263,11 @@
 	serve_set_upstream(&calls->server, service, id, start, address);
 }
 
+void calls_set_upstream_leaving(struct calls *calls, bool leaving)
+{
+	calls->server.upstream_leaving = leaving;
+}
+
 const struct request_stats *calls_request_stats(struct calls *calls)
 {
 	return serve_request_stats(&calls->server);
--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -115,6 +115,10 @@
 			const char *id, uint64_t start,
 			const struct address *address);
 
+/** calls_set_upstream_leaving() - the upstream leaves, or has left. A stop of
+ * this node does not count. */
+void calls_set_upstream_leaving(struct calls *calls, bool leaving);
+
 /** calls_request_stats() - see serve_request_stats(). */
 const struct request_stats *calls_request_stats(struct calls *calls);
 
--- a/src/call/crash_watch_test.c
+++ b/src/call/crash_watch_test.c
@@ -111,6 +111,8 @@
 	STEP_ANSWERS,
 	STEP_FAILS, /* answers with 500 */
 	STEP_ENDS,  /* refuses connections, and starts again */
+	STEP_LEAVES,
+	STEP_NODE_STOPS,
 };
 
 enum { STEPS_MAX = 12 };
@@ -165,6 +167,17 @@
 	upstream_observe(&inbound, &result, &answer);
 }
 
+static void set_gate(enum gate_state state)
+{
+	gate_set_state(&path.b.gate, state, loop_now_us(&path.loop));
+}
+
+static void set_leaving(bool leaving)
+{
+	calls_set_upstream_leaving(&path.b.calls, leaving);
+	set_gate(leaving ? GATE_LEAVING : GATE_OPEN);
+}
+
 static void end_upstream(uint64_t next_incarnation)
 {
 	struct crash_watch *watch = &path.b.calls.server.crash_watch;
@@ -173,6 +186,7 @@
 	for (i = 0; i < CRASH_REFUSED_MAX; i++)
 		crash_watch_refused(watch);
 	set_incarnation(next_incarnation);
+	set_leaving(false);
 }
 
 /* A request that crashes upstreams would be sent on, or a harmless one be
@@ -201,6 +215,14 @@
 		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_FAILS,
 		    STEP_LOSES, STEP_ENDS },
 		  QUARANTINE_BLOCKED },
+		{ "two upstreams end as they leave",
+		  { STEP_LOSES, STEP_ENDS, STEP_LEAVES, STEP_LOSES, STEP_ENDS,
+		    STEP_LEAVES, STEP_LOSES, STEP_ENDS },
+		  QUARANTINE_SUSPECT },
+		{ "the node stops before the third end",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS,
+		    STEP_NODE_STOPS, STEP_LOSES, STEP_ENDS },
+		  QUARANTINE_BLOCKED },
 		{ "an upstream fails it after the ends",
 		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_LOSES,
 		    STEP_ENDS, STEP_FAILS },
@@ -231,6 +253,12 @@
 			case STEP_ENDS:
 				end_upstream(++incarnation);
 				break;
+			case STEP_LEAVES:
+				set_leaving(true);
+				break;
+			case STEP_NODE_STOPS:
+				set_gate(GATE_LEAVING);
+				break;
 			}
 		}
 		cr_expect_eq(quarantine_table_state(&quarantine.table,
--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -132,7 +132,7 @@
 				     &inbound->fingerprint, inbound->sent_us,
 				     answer->status < STATUS_SERVER_ERROR);
 	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out &&
-		 server->options.gate->state != GATE_LEAVING)
+		 !server->upstream_leaving)
 		crash_watch_lost(&server->crash_watch, &inbound->fingerprint);
 }
 
--- a/src/node/callbacks.c
+++ b/src/node/callbacks.c
@@ -180,6 +180,10 @@
 			   current ? current->id : "",
 			   current ? current->start : 0,
 			   current ? &current->address : NULL);
+	/* Without an announcement it keeps the state that it announced last. */
+	if (current)
+		calls_set_upstream_leaving(&node->calls,
+					   current->state == UPSTREAM_LEAVING);
 	calls_gate_changed(&node->calls);
 	if (state == GATE_LEAVING)
 		calls_leave(&node->calls);
