call: a run lost by the former incarnation of an upstream counts as its crash

What callers saw (BUDGET): a request that had ended three upstreams was sent on. A third way found by reading: if the next incarnation announces itself before the node reads the end of its connections to the former one (after a pause of the node, or while it is slow), the lost runs were booked to the new incarnation, whose next answer cleared them. The crash was never found.

The test's rows "the third one has returned before its run is lost" and "one returned, two of its runs are lost" failed before.

A run that was sent before the present incarnation was known belongs to the former one, which has ended; its lost runs are one crash. An incarnation that was leaving counts for nothing, also when runs were lost before it left ("they return after they left").

--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -265,7 +265,7 @@
 
 void calls_set_upstream_leaving(struct calls *calls, bool leaving)
 {
-	calls->server.upstream_leaving = leaving;
+	crash_watch_set_leaving(&calls->server.crash_watch, leaving);
 }
 
 const struct request_stats *calls_request_stats(struct calls *calls)
--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -24,8 +24,6 @@
 	timer_cancel(crash_watch->options.loop, &crash_watch->retry);
 }
 
-/* The runs that were lost belong to the crash only if the upstream was not
- * leaving; crash_watch_lost() is not called for those. */
 static void confirm_crash(struct crash_watch *crash_watch)
 {
 	struct quarantine_net *quarantine = crash_watch->options.quarantine;
@@ -121,9 +119,13 @@
 void crash_watch_set_upstream(struct crash_watch *crash_watch,
 			      const struct address *address)
 {
-	if (crash_watch->losses.count)
+	if (crash_watch->losses.count && !crash_watch->leaving)
 		confirm_crash(crash_watch);
 	close_probe(crash_watch);
+	crash_watch->former_crash_id = crash_watch->losses.crash_id;
+	crash_watch->former_left = crash_watch->leaving;
+	crash_watch->leaving = false;
+	crash_watch->since_us = clock_monotonic_us();
 	losses_reset(&crash_watch->losses);
 	crash_watch->refused_count = 0;
 	crash_watch->next_probe_us = 0;
@@ -135,12 +137,40 @@
 	return crash_watch->losses.crash_id != 0;
 }
 
+void crash_watch_set_leaving(struct crash_watch *crash_watch, bool leaving)
+{
+	crash_watch->leaving = leaving;
+}
+
+/* The next incarnation may announce itself before the node has read the end of
+ * the connections to the former one, for instance after a pause of the node. */
+static void lost_by_former(struct crash_watch *crash_watch,
+			   const struct fingerprint *fingerprint)
+{
+	struct quarantine_net *quarantine = crash_watch->options.quarantine;
+
+	if (!quarantine || crash_watch->former_left)
+		return;
+	if (!crash_watch->former_crash_id)
+		crash_watch->former_crash_id =
+			quarantine_net_crash_id(quarantine);
+	quarantine_net_crashed(quarantine, fingerprint,
+			       crash_watch->former_crash_id);
+}
+
 void crash_watch_lost(struct crash_watch *crash_watch,
-		      const struct fingerprint *fingerprint)
+		      const struct fingerprint *fingerprint, int64_t started_us)
 {
-	uint64_t crash_id = losses_add(&crash_watch->losses, fingerprint,
-				       loop_now_us(crash_watch->options.loop));
+	uint64_t crash_id;
 
+	if (started_us < crash_watch->since_us) {
+		lost_by_former(crash_watch, fingerprint);
+		return;
+	}
+	if (crash_watch->leaving)
+		return;
+	crash_id = losses_add(&crash_watch->losses, fingerprint,
+			      loop_now_us(crash_watch->options.loop));
 	if (!crash_id)
 		request_probe(crash_watch);
 	else if (crash_watch->options.quarantine)
--- a/src/call/crash_watch.h
+++ b/src/call/crash_watch.h
@@ -37,6 +37,11 @@
  * @retry: delay before the next connection is opened
  * @next_probe_us: time before which no connection is opened
  * @refused_count: number of consecutive refused connections
+ * @since_us: time from which the present incarnation is known
+ * @leaving: the present incarnation ends soon, whatever it runs
+ * @former_left: the former incarnation was leaving
+ * @former_crash_id: id of the crash of the former incarnation; 0 if none of its
+ *	runs is known to be lost
  */
 struct crash_watch {
 	struct crash_watch_options options;
@@ -47,6 +52,10 @@
 	struct timer retry;
 	int64_t next_probe_us;
 	uint32_t refused_count;
+	int64_t since_us;
+	bool leaving;
+	bool former_left;
+	uint64_t former_crash_id;
 };
 
 void crash_watch_init(struct crash_watch *crash_watch,
@@ -60,9 +69,16 @@
 /** crash_watch_has_ended() - returns true after a confirmed end. */
 bool crash_watch_has_ended(const struct crash_watch *crash_watch);
 
-/** crash_watch_lost() - a run has ended without an answer. */
+/** crash_watch_set_leaving() - the present incarnation leaves, or does not. */
+void crash_watch_set_leaving(struct crash_watch *crash_watch, bool leaving);
+
+/**
+ * crash_watch_lost() - a run has ended without an answer
+ * @started_us: time at which the request was sent to the upstream
+ */
 void crash_watch_lost(struct crash_watch *crash_watch,
-		      const struct fingerprint *fingerprint);
+		      const struct fingerprint *fingerprint,
+		      int64_t started_us);
 
 /**
  * crash_watch_answered() - the upstream has answered a request
--- a/src/call/crash_watch_test.c
+++ b/src/call/crash_watch_test.c
@@ -113,6 +113,10 @@
 	STEP_ENDS,  /* refuses connections, and starts again */
 	STEP_LEAVES,
 	STEP_NODE_STOPS,
+	STEP_RETURNS,	   /* starts again, unseen before the run is lost */
+	STEP_LOSES_LATE,   /* as STEP_LOSES, sent to the former incarnation */
+	STEP_RUNS_ABORTED, /* the node gives the run up */
+	STEP_RUNS_TIMED_OUT,
 };
 
 enum { STEPS_MAX = 12 };
@@ -223,6 +227,19 @@
 		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS,
 		    STEP_NODE_STOPS, STEP_LOSES, STEP_ENDS },
 		  QUARANTINE_BLOCKED },
+		{ "the third one has returned before its run is lost",
+		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_RETURNS,
+		    STEP_LOSES_LATE, STEP_LOSES_LATE },
+		  QUARANTINE_BLOCKED },
+		{ "one returned, two of its runs are lost",
+		  { STEP_RETURNS, STEP_LOSES_LATE, STEP_LOSES_LATE,
+		    STEP_LOSES_LATE },
+		  QUARANTINE_SUSPECT },
+		{ "they return after they left",
+		  { STEP_LEAVES, STEP_RETURNS, STEP_LOSES_LATE, STEP_LEAVES,
+		    STEP_RETURNS, STEP_LOSES_LATE, STEP_LEAVES, STEP_RETURNS,
+		    STEP_LOSES_LATE },
+		  QUARANTINE_NONE },
 		{ "an upstream fails it after the ends",
 		  { STEP_LOSES, STEP_ENDS, STEP_LOSES, STEP_ENDS, STEP_LOSES,
 		    STEP_ENDS, STEP_FAILS },
@@ -233,6 +250,7 @@
 
 	for (i = 0; i < COUNT(cases); i++) {
 		const struct fingerprint fingerprint = { 100 + i, 200 + i };
+		int64_t before_us = clock_monotonic_us() - 1;
 		uint32_t at;
 
 		for (at = 0; at < STEPS_MAX; at++) {
@@ -259,6 +277,16 @@
 			case STEP_NODE_STOPS:
 				set_gate(GATE_LEAVING);
 				break;
+			case STEP_RETURNS:
+				set_incarnation(++incarnation);
+				set_leaving(false);
+				break;
+			case STEP_LOSES_LATE:
+				observe(&fingerprint, before_us, 0);
+				break;
+			case STEP_RUNS_ABORTED:
+			case STEP_RUNS_TIMED_OUT:
+				break;
 			}
 		}
 		cr_expect_eq(quarantine_table_state(&quarantine.table,
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -106,7 +106,6 @@
 	char upstream_id[UPSTREAM_ID_SIZE];
 	uint64_t upstream_start;   /* see struct announcement */
 	int64_t upstream_since_us; /* when this incarnation was listed */
-	bool upstream_leaving;	   /* it ends soon, whatever it runs */
 	struct serve_peer *peers;
 	struct serve_peer local;
 	struct link_pipe to_caller; /* answers to calls of this node */
--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -120,7 +120,6 @@
 	server->notice = notice;
 }
 
-/* An upstream that leaves ends after its drain time, whatever it runs. */
 static void watch_for_crash(const struct inbound *inbound,
 			    const struct upstream_result *result,
 			    const struct http_answer *answer)
@@ -131,9 +130,9 @@
 		crash_watch_answered(&server->crash_watch,
 				     &inbound->fingerprint, inbound->sent_us,
 				     answer->status < STATUS_SERVER_ERROR);
-	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out &&
-		 !server->upstream_leaving)
-		crash_watch_lost(&server->crash_watch, &inbound->fingerprint);
+	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out)
+		crash_watch_lost(&server->crash_watch, &inbound->fingerprint,
+				 inbound->sent_us);
 }
 
 void upstream_observe(const struct inbound *inbound,
