call: a run that the node gave up may crash the upstream all the same

A fourth way found by reading: a run whose caller hung up, or whose deadline passed, ends at the node, but may go on at the upstream and end it. Only runs that ended without an answer were kept, so such a request was never found, however often it came.

The test's rows "its runs are given up before the ends" and "its runs time out before the ends" failed before.

They cause no probe: a run given up is no sign of an end. Nor is it a sign that the upstream accepts connections, as the code took it. An upstream that leaves still counts for nothing, also for runs before it left.

--- a/src/call/crash_watch.c
+++ b/src/call/crash_watch.c
@@ -35,7 +35,8 @@
 		return;
 	crash_id = quarantine_net_crash_id(quarantine);
 	if (!losses_confirm(losses, crash_id,
-			    loop_now_us(crash_watch->options.loop)))
+			    loop_now_us(crash_watch->options.loop)) ||
+	    crash_watch->leaving)
 		return;
 	log_warn(component, "upstream_crashed",
 		 LOG_NUMBER("running", losses->count));
@@ -119,7 +120,7 @@
 void crash_watch_set_upstream(struct crash_watch *crash_watch,
 			      const struct address *address)
 {
-	if (crash_watch->losses.count && !crash_watch->leaving)
+	if (crash_watch->address.family)
 		confirm_crash(crash_watch);
 	close_probe(crash_watch);
 	crash_watch->former_crash_id = crash_watch->losses.crash_id;
@@ -178,6 +179,21 @@
 				       fingerprint, crash_id);
 }
 
+void crash_watch_aborted(struct crash_watch *crash_watch,
+			 const struct fingerprint *fingerprint)
+{
+	struct losses *losses = &crash_watch->losses;
+
+	if (crash_watch->leaving)
+		return;
+	if (losses->crash_id && crash_watch->options.quarantine)
+		quarantine_net_crashed(crash_watch->options.quarantine,
+				       fingerprint, losses->crash_id);
+	else
+		losses_add_aborted(losses, fingerprint,
+				   loop_now_us(crash_watch->options.loop));
+}
+
 void crash_watch_answered(struct crash_watch *crash_watch,
 			  const struct fingerprint *fingerprint,
 			  int64_t started_us, bool completed)
--- a/src/call/crash_watch.h
+++ b/src/call/crash_watch.h
@@ -80,6 +80,15 @@
 		      const struct fingerprint *fingerprint,
 		      int64_t started_us);
 
+/**
+ * crash_watch_aborted() - the node has given up a run, which may still go on
+ *
+ * The upstream may crash over it all the same. Unlike a lost run, it is no sign
+ * that the upstream has ended.
+ */
+void crash_watch_aborted(struct crash_watch *crash_watch,
+			 const struct fingerprint *fingerprint);
+
 /**
  * crash_watch_answered() - the upstream has answered a request
  * @started_us: time at which the request was sent to the upstream
--- a/src/call/crash_watch_test.c
+++ b/src/call/crash_watch_test.c
@@ -171,6 +171,20 @@
 	upstream_observe(&inbound, &result, &answer);
 }
 
+static void observe_timeout(const struct fingerprint *fingerprint,
+			    int64_t sent_us)
+{
+	const struct inbound inbound = { .server = &path.b.calls.server,
+					 .fingerprint = *fingerprint,
+					 .sent_us = sent_us };
+	const struct http_answer answer = { .delivery = HTTP_MAY_BE_SENT,
+					    .timed_out = true };
+	const struct upstream_result result = { .gate_feedback =
+							GATE_TIMED_OUT };
+
+	upstream_observe(&inbound, &result, &answer);
+}
+
 static void set_gate(enum gate_state state)
 {
 	gate_set_state(&path.b.gate, state, loop_now_us(&path.loop));
@@ -235,6 +249,19 @@
 		  { STEP_RETURNS, STEP_LOSES_LATE, STEP_LOSES_LATE,
 		    STEP_LOSES_LATE },
 		  QUARANTINE_SUSPECT },
+		{ "its runs are given up before the ends",
+		  { STEP_RUNS_ABORTED, STEP_ENDS, STEP_RUNS_ABORTED, STEP_ENDS,
+		    STEP_RUNS_ABORTED, STEP_ENDS },
+		  QUARANTINE_BLOCKED },
+		{ "its runs time out before the ends",
+		  { STEP_RUNS_TIMED_OUT, STEP_ENDS, STEP_RUNS_TIMED_OUT,
+		    STEP_ENDS, STEP_RUNS_TIMED_OUT, STEP_ENDS },
+		  QUARANTINE_BLOCKED },
+		{ "runs are given up, and the upstreams leave",
+		  { STEP_RUNS_ABORTED, STEP_LEAVES, STEP_ENDS,
+		    STEP_RUNS_ABORTED, STEP_LEAVES, STEP_ENDS,
+		    STEP_RUNS_ABORTED, STEP_LEAVES, STEP_ENDS },
+		  QUARANTINE_NONE },
 		{ "they return after they left",
 		  { STEP_LEAVES, STEP_RETURNS, STEP_LOSES_LATE, STEP_LEAVES,
 		    STEP_RETURNS, STEP_LOSES_LATE, STEP_LEAVES, STEP_RETURNS,
@@ -285,7 +312,12 @@
 				observe(&fingerprint, before_us, 0);
 				break;
 			case STEP_RUNS_ABORTED:
+				crash_watch_aborted(
+					&path.b.calls.server.crash_watch,
+					&fingerprint);
+				break;
 			case STEP_RUNS_TIMED_OUT:
+				observe_timeout(&fingerprint, now_us);
 				break;
 			}
 		}
--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -300,7 +300,8 @@
 	http_client_cancel(inbound->transfer);
 	if (sent) {
 		outcome->verdict = VERDICT_MAY_HAVE_RUN;
-		crash_watch_reached(&server->crash_watch);
+		crash_watch_aborted(&server->crash_watch,
+				    &inbound->fingerprint);
 	}
 	if (sent && outcome->reason == CALL_DEADLINE) {
 		histogram_add(&upstream_time, took_us);
--- a/src/call/upstream_observe.c
+++ b/src/call/upstream_observe.c
@@ -130,7 +130,10 @@
 		crash_watch_answered(&server->crash_watch,
 				     &inbound->fingerprint, inbound->sent_us,
 				     answer->status < STATUS_SERVER_ERROR);
-	else if (answer->delivery == HTTP_MAY_BE_SENT && !answer->timed_out)
+	else if (answer->delivery == HTTP_MAY_BE_SENT && answer->timed_out)
+		crash_watch_aborted(&server->crash_watch,
+				    &inbound->fingerprint);
+	else if (answer->delivery == HTTP_MAY_BE_SENT)
 		crash_watch_lost(&server->crash_watch, &inbound->fingerprint,
 				 inbound->sent_us);
 }
--- a/src/quarantine/table_test.c
+++ b/src/quarantine/table_test.c
@@ -200,6 +200,7 @@
 	enum event {
 		END,
 		LOSS,
+		ABORT,
 		OLDER_ANSWER,
 		ANSWER,
 		MINUTE,
@@ -229,6 +230,12 @@
 		  { LOSS, MINUTE, UPSTREAM_END },
 		  0 },
 		{ "it ends without a request", { UPSTREAM_END }, 0 },
+		{ "it ends after a run was given up",
+		  { ABORT, ANSWER, UPSTREAM_END },
+		  1 },
+		{ "it ends long after a run was given up",
+		  { ABORT, MINUTE, UPSTREAM_END },
+		  0 },
 		{ "it ends twice", { LOSS, UPSTREAM_END, UPSTREAM_END }, 1 },
 	};
 	const struct fingerprint fingerprint = { 1, 2 };
@@ -247,6 +254,10 @@
 				counted += losses_add(&losses, &fingerprint,
 						      now_us) != 0;
 				break;
+			case ABORT:
+				losses_add_aborted(&losses, &fingerprint,
+						   now_us);
+				break;
 			case OLDER_ANSWER:
 				losses_answered(&losses, 0);
 				break;
