quarantine: blocks outlast the end of all nodes

Nodes held the findings in memory alone, so each such end let the request crash three upstreams more.

Ways: a record of each block in the platform's store; in the configuration's own watch (the store's prefixes do not allow it); at the upstreams (they keep nothing). Chosen: one key, watched by the readers of the configuration, who write what it lacks by compare-and-swap. A node that becomes a reader reads it along with the configuration, so its data centre knows the blocks when it begins to serve. Ages are kept by the wall clock and never negative. Suspicions are not written.

Test crash/nodes_that_all_ended_at_once_do_not_send_it_on: six nodes end at once, twice, under load.

What it costs: a waiting call for each reader; a read and a write for each block.

Bound that stays: suspicions of one or two crashes, and a block that no reader has written yet (two calls), still end with the last node. A data centre that reaches neither the others nor the store learns by three of its own.

--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -17,7 +17,7 @@
 #include "profile/editor.h"
 #include "profile/keeper.h"
 #include "profile/reader.h"
-#include "quarantine/net.h"
+#include "quarantine/keep.h"
 #include "rollout/net.h"
 #include "route/route.h"
 #include "spread/spread_net.h"
@@ -84,6 +84,7 @@
 	struct spread_net spread;
 	struct rollout_net rollout;
 	struct quarantine_net quarantine;
+	struct quarantine_keep quarantine_keep;
 	struct router router;
 	struct gate gate;
 	struct announce announce;
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -227,6 +227,14 @@
 	rollout_net_receive_orders(&node->rollout, items, count);
 }
 
+static void reader_elected(bool is_reader, void *data)
+{
+	struct node *node = data;
+
+	quarantine_keep_set_active(&node->quarantine_keep,
+				   is_reader && !node->leaving);
+}
+
 static void start_reader(struct node *node)
 {
 	const struct settings_platform *from = &node->settings->platform;
@@ -242,6 +250,7 @@
 					  node->settings->rollout.enabled
 				  ? forward_orders
 				  : NULL,
+		.elected = reader_elected,
 		.data = node,
 	};
 
@@ -256,6 +265,19 @@
 		    &options);
 }
 
+static void start_quarantine_keep(struct node *node)
+{
+	const struct quarantine_keep_options options = {
+		.loop = &node->loop,
+		.store = &node->store,
+		.net = &node->quarantine,
+		.seed = node_seed(),
+	};
+
+	if (node->settings->call.quarantine)
+		quarantine_keep_init(&node->quarantine_keep, &options);
+}
+
 void node_source_start(struct node *node)
 {
 	node->started_us = loop_now_us(&node->loop);
@@ -267,6 +289,7 @@
 	node->has_source = true;
 	start_store(node);
 	start_reader(node);
+	start_quarantine_keep(node);
 	editor_init(&node->editor, &node->loop, &node->store, &node->keeper,
 		    node_seed());
 	if (elects_by_rank(node)) {
@@ -288,6 +311,7 @@
 	if (!node->has_source)
 		return;
 	reader_withdraw(&node->reader);
+	quarantine_keep_set_active(&node->quarantine_keep, false);
 	if (elects_by_rank(node))
 		lookup_stop(&node->lookup);
 }
@@ -304,6 +328,7 @@
 		return;
 	if (elects_by_rank(node))
 		lookup_finish(&node->lookup);
+	quarantine_keep_finish(&node->quarantine_keep);
 	editor_finish(&node->editor);
 	reader_finish(&node->reader);
 	store_finish(&node->store);
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -39,6 +39,7 @@
 	reader->store = store;
 	reader->keeper = keeper;
 	reader->members = options->members;
+	reader->elected = options->elected;
 	reader->data = options->data;
 	reader->form = options->form;
 	reader_core_init(&reader->core, options->election, &options->lease,
@@ -473,6 +474,16 @@
 	}
 }
 
+static void report_elected(struct reader *reader, bool is_reader)
+{
+	counter_set(&holds_gauge, is_reader);
+	if (is_reader == reader->was_reader)
+		return;
+	reader->was_reader = is_reader;
+	if (reader->elected)
+		reader->elected(is_reader, reader->data);
+}
+
 /* Makes all calls that are due and sets the timer for the next one. */
 static void make_due_calls(struct reader *reader)
 {
@@ -493,7 +504,7 @@
 		timer_cancel(reader->loop, &reader->timer);
 	else
 		timer_set(reader->loop, &reader->timer, command.at_us);
-	counter_set(&holds_gauge, reader_core_is_reader(&reader->core, now_us));
+	report_elected(reader, reader_core_is_reader(&reader->core, now_us));
 }
 
 void reader_set_rank(struct reader *reader, uint32_t rank)
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -56,7 +56,9 @@
  * @orders: may be NULL: orders are not read then. Called before the keeper is
  *	offered the head that was read after the orders, so that a node with a
  *	version has the orders for the version
- * @data: passed to @members and @orders
+ * @elected: called when this node becomes a reader or ceases to be one; may be
+ *	NULL
+ * @data: passed to the callbacks
  */
 struct reader_options {
 	enum interface_form form;
@@ -67,6 +69,7 @@
 	uint64_t seed;
 	reader_members_fn *members;
 	orders_changed_fn *orders;
+	void (*elected)(bool is_reader, void *data);
 	void *data;
 };
 
@@ -91,6 +94,8 @@
  * @heads: number of heads that were read
  * @older_head_count: number of heads that were older than the version in force
  * @bad_bodies: number of bodies whose content did not match their hash
+ * @elected: see struct reader_options
+ * @was_reader: this node was a reader when @elected was called last
  * @members_written: number of writes of the members record
  */
 struct reader {
@@ -121,6 +126,8 @@
 	uint64_t older_head_count;
 	uint64_t bad_bodies;
 	uint64_t members_written;
+	void (*elected)(bool is_reader, void *data);
+	bool was_reader;
 };
 
 void reader_init(struct reader *reader, struct loop *loop, struct store *store,
--- a/src/quarantine/net.c
+++ b/src/quarantine/net.c
@@ -177,6 +177,8 @@
 	entry->is_unsent = true;
 	loop_defer(net->options.loop, &net->send);
 	start_timer(net);
+	if (net->on_changed)
+		net->on_changed(net->data);
 }
 
 static void complete(struct quarantine_net *net, uint64_t hash)
@@ -205,8 +207,9 @@
 		entry_changed(net, entry, before);
 }
 
-static void merge(struct quarantine_net *net,
-		  const struct quarantine_finding *finding, int64_t age_ms)
+void quarantine_net_receive(struct quarantine_net *net,
+			    const struct quarantine_finding *finding,
+			    int64_t age_ms)
 {
 	enum quarantine_state before = state_before(net, finding->hash);
 	struct quarantine_entry *entry = quarantine_table_merge(
@@ -296,7 +299,7 @@
 	     quarantine_findings_decode(message, at, &finding, &age_ms, &err);
 	     at++)
 		if (net->options.enabled)
-			merge(net, &finding, age_ms);
+			quarantine_net_receive(net, &finding, age_ms);
 	if (!error_is_set(&err))
 		return;
 	counter_add(&malformed, 1);
--- a/src/quarantine/net.h
+++ b/src/quarantine/net.h
@@ -38,6 +38,8 @@
  * @timer: sends and expires findings; runs while there are any
  * @changed_us: time of the last change
  * @crash_count: number of crashes of the upstream beside that were reported
+ * @on_changed: called after each change of a finding; may be NULL
+ * @data: passed to @on_changed
  */
 struct quarantine_net {
 	struct quarantine_options options;
@@ -49,6 +51,8 @@
 	struct timer timer;
 	int64_t changed_us;
 	uint64_t crash_count;
+	void (*on_changed)(void *data);
+	void *data;
 };
 
 void quarantine_net_init(struct quarantine_net *net,
@@ -57,6 +61,11 @@
 /** quarantine_net_finish() - call this before gossip and hub finish. */
 void quarantine_net_finish(struct quarantine_net *net);
 
+/** quarantine_net_receive() - merges a finding that is @age_ms old */
+void quarantine_net_receive(struct quarantine_net *net,
+			    const struct quarantine_finding *finding,
+			    int64_t age_ms);
+
 /**
  * struct quarantine_decision - whether a request may be sent
  * @retry_after_ms: time after which it may be accepted again
--- a/test/functional/crash_test.c
+++ b/test/functional/crash_test.c
@@ -133,7 +133,7 @@
 	cr_assert(state.third_crash_us);
 }
 
-/* Restarts all nodes; the supervisor goes on meanwhile. */
+/* Restarts all nodes in turn; the supervisor goes on meanwhile. */
 static void restart_nodes(void)
 {
 	uint32_t i;
@@ -145,6 +145,17 @@
 	}
 }
 
+/* Ends all nodes at the same moment, twice. */
+static void restart_all_nodes(void)
+{
+	uint32_t times;
+
+	for (times = 0; times < 2; times++) {
+		loaded_disturb(&loaded, ALL_NODES_RESTART);
+		run_until(clock_monotonic_us() + LEARN_US);
+	}
+}
+
 static uint32_t first_record_from(int64_t from_us)
 {
 	uint32_t i = 0;
@@ -157,16 +168,22 @@
 
 static void check_crashing_request(enum disturbance disturbance)
 {
-	int64_t from_us;
+	int64_t from_us = 0;
 
 	memset(&state, 0, sizeof(state));
 	wait_third_crash();
 	run_until(state.third_crash_us + LEARN_US / 3);
-	if (disturbance == OTHER_NODES_RESTART)
+	if (disturbance == OTHER_NODES_RESTART) {
 		restart_nodes();
-	else
+	} else if (disturbance == ALL_NODES_RESTART) {
+		run_until(state.third_crash_us + LEARN_US);
+		restart_all_nodes();
+		from_us = clock_monotonic_us();
+	} else {
 		loaded_disturb(&loaded, disturbance);
-	from_us = state.third_crash_us + LEARN_US;
+	}
+	if (from_us < state.third_crash_us + LEARN_US)
+		from_us = state.third_crash_us + LEARN_US;
 	run_until(from_us);
 	run_until(clock_monotonic_us() + OBSERVE_US);
 	load_drain(&loaded.load, WAIT_MS);
@@ -200,6 +217,13 @@
 	check_crashing_request(OTHER_NODES_RESTART);
 }
 
+/* Guards against findings that end with the nodes if all of them end at once. */
+Test(crash, nodes_that_all_ended_at_once_do_not_send_it_on, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	check_crashing_request(ALL_NODES_RESTART);
+}
+
 /* Guards against a memory of such requests that needs the platform. */
 Test(crash, it_is_not_sent_on_while_the_platform_is_down, .init = start,
      .fini = stop, .timeout = 120)
--- a/test/functional/loaded.c
+++ b/test/functional/loaded.c
@@ -81,6 +81,16 @@
 	load_run(&loaded->load, LOADED_RESTART_GAP_MS);
 }
 
+static void restart_all_nodes(struct loaded *loaded)
+{
+	uint32_t i;
+
+	for (i = 0; i < LOADED_NODES; i++)
+		process_kill(&loaded->cluster.nodes[i].process);
+	for (i = 0; i < LOADED_NODES; i++)
+		cr_assert(cluster_start_node(&loaded->cluster, i));
+}
+
 void loaded_disturb(struct loaded *loaded, enum disturbance disturbance)
 {
 	struct cluster *cluster = &loaded->cluster;
@@ -104,6 +114,9 @@
 		for (i = 1; i < LOADED_NODES; i++)
 			restart_node(loaded, i);
 		break;
+	case ALL_NODES_RESTART:
+		restart_all_nodes(loaded);
+		break;
 	case FIRST_NODE_RESTARTS:
 		restart_node(loaded, 0);
 		break;
