node: frames read in the last turn of a stopping node are answered

Read and shown by a test: frames are written at the end of a turn, the decision to end is an idle call after that. The test passed as it was written; it would fail with the decision in the timer.

--- a/src/node/exit_test.c
+++ b/src/node/exit_test.c
@@ -16,10 +16,13 @@
 static struct watch input;
 static struct deferred slow_call;
 static struct deferred answer;
+static struct deferred flush;
 static int ends[2];
 static uint32_t unanswered;
 static uint32_t answered;
 static bool ended;
+static bool is_frame; /* the input is a frame of a node, not of a caller */
+static bool flushed;
 
 static struct leaving_open open_work(void *data)
 {
@@ -39,11 +42,22 @@
 	answered++;
 }
 
+/* Frames to other nodes are written at the end of a turn. */
+static void on_flush(void *data)
+{
+	cr_expect_not(ended);
+	flushed = true;
+}
+
 static void on_input(struct watch *watch, int ready, void *data)
 {
 	char byte;
 
 	cr_assert_eq(read(ends[0], &byte, 1), 1);
+	if (is_frame) {
+		loop_defer_to_turn_end(&loop, &flush);
+		return;
+	}
 	unanswered++;
 	loop_defer(&loop, &answer);
 }
@@ -76,6 +90,7 @@
 			      &err));
 	deferred_init(&slow_call, on_slow_call, NULL);
 	deferred_init(&answer, on_answer, NULL);
+	deferred_init(&flush, on_flush, NULL);
 	node_exit_init(&node_exit, &options);
 }
 
@@ -86,10 +101,7 @@
 	loop_finish(&loop);
 }
 
-/* Failure: a request is read in the turn in which the process decides to end,
- * and gets no answer. */
-Test(node_exit, a_request_read_in_the_last_turn_is_answered, .init = setup,
-     .fini = teardown)
+static void run_until_ended(void)
 {
 	struct timer timer;
 
@@ -101,6 +113,24 @@
 	node_exit_drained(&node_exit);
 	while (!ended)
 		loop_turn(&loop, LEAVING_DATAGRAMS_MS * US_PER_MS);
+}
+
+/* Failure: a request is read in the turn in which the process decides to end,
+ * and gets no answer. */
+Test(node_exit, a_request_read_in_the_last_turn_is_answered, .init = setup,
+     .fini = teardown)
+{
+	run_until_ended();
 	cr_expect_eq(unanswered, 0);
 	cr_expect_eq(answered, 1);
 }
+
+/* Failure: a call of another node is read in that turn, and its refusal is not
+ * sent, so that the caller cannot know that the call has not run. */
+Test(node_exit, a_frame_read_in_the_last_turn_is_answered, .init = setup,
+     .fini = teardown)
+{
+	is_frame = true;
+	run_until_ended();
+	cr_expect(flushed);
+}
