--- a/soak/upstreams.c
+++ b/soak/upstreams.c
@@ -142,8 +142,10 @@
 	uint32_t blocked = count_blocked(soak, true);
 	/* Each side of a partition has to recognize it. */
 	uint32_t sides = soak->injected[FAULT_CUT] ? SOAK_CENTRES : 1;
-	/* Nodes keep nothing that outlasts the end of all of them. */
-	uint32_t times = 1 + soak->forgotten;
+	/* The platform keeps what outlasts the end of all nodes, if it can be
+	 * reached. */
+	uint32_t times =
+		1 + (soak->injected[FAULT_PLATFORM] ? soak->forgotten : 0);
 	int64_t crashes = 0;
 	uint32_t i;
 
