--- a/src/quarantine/net.c
+++ b/src/quarantine/net.c
@@ -181,6 +181,17 @@
 		net->on_changed(net->data);
 }
 
+/* Logged by the node beside the upstream alone, not by those that hear of it. */
+static void log_suspect(const char *event, const struct quarantine_entry *entry)
+{
+	char content[FINGERPRINT_TEXT_SIZE];
+
+	log_info(component, event,
+		 LOG_TEXT("content",
+			  fingerprint_text(entry->finding.hash, content)),
+		 LOG_NUMBER("crashes", entry->finding.crash_count));
+}
+
 static void complete(struct quarantine_net *net, uint64_t hash)
 {
 	enum quarantine_state before = state_before(net, hash);
@@ -190,6 +201,8 @@
 	if (!entry)
 		return;
 	counter_add(&released, 1);
+	if (before == QUARANTINE_SUSPECT)
+		log_suspect("suspect_cleared", entry);
 	entry_changed(net, entry, before);
 }
 
@@ -203,8 +216,10 @@
 		return;
 	entry = quarantine_table_add_crash(&net->table, hash, crash_id,
 					   now(net));
-	if (entry)
-		entry_changed(net, entry, before);
+	if (!entry)
+		return;
+	log_suspect("request_suspected", entry);
+	entry_changed(net, entry, before);
 }
 
 void quarantine_net_receive(struct quarantine_net *net,
