--- a/src/membership/members_test.c
+++ b/src/membership/members_test.c
@@ -559,3 +559,84 @@
 			       mesh.now_us);
 	cr_expect_eq(other->status, MEMBER_ALIVE);
 }
+
+/* Returns the time until all nodes of data centre 1 have the state of @from. */
+static int64_t known_elsewhere_ms(uint32_t from, enum upstream_state state)
+{
+	int64_t begin_us = mesh.now_us;
+	bool known = false;
+
+	while (!known && mesh.now_us - begin_us < CONVERGE_MS * US_PER_MS) {
+		uint32_t i;
+
+		mesh_run(&mesh, 20);
+		known = true;
+		for (i = 1; i < mesh.count; i += 2) {
+			const struct member *member = members_find(
+				&mesh.nodes[i].members,
+				mesh.nodes[from].members.home->name,
+				mesh.nodes[from].members.self->record.instance);
+
+			known &= member && member->record.state == state;
+		}
+	}
+	return (mesh.now_us - begin_us) / US_PER_MS;
+}
+
+/* Guards against news that stays in a data centre, because the nodes that link
+ * it to the others are lost together with most of its nodes. */
+Test(members, news_leaves_a_data_centre_that_lost_most_nodes, .fini = teardown,
+     .timeout = 120)
+{
+	enum { NODES = 26, LOST_BEFORE_MS = 2000, KNOWN_MS = 2500 };
+	static const struct {
+		const char *name;
+		uint32_t lost; /* nodes of data centre 0, the first ranks */
+	} cases[] = {
+		{ "nobody", 0 },
+		{ "both links", 2 },
+		{ "eight of thirteen", 8 },
+		{ "ten of thirteen", 10 },
+	};
+	size_t c;
+
+	for (c = 0; c < COUNT(cases); c++) {
+		struct members_upstream own = { .service = "ledger",
+						.profile = "default",
+						.state = UPSTREAM_LEAVING,
+						.slots = 6 };
+		uint32_t lost[NODES];
+		uint32_t last = 0;
+		uint32_t i;
+		int64_t took_ms;
+
+		mesh_init(&mesh, NODES, 2, 1);
+		mesh.options.probe_interval_us = 400 * US_PER_MS;
+		mesh.options.ping_timeout_us = 120 * US_PER_MS;
+		mesh.options.suspicion_us = 800 * US_PER_MS;
+		mesh.options.link_interval_us = 400 * US_PER_MS;
+		mesh.options.link_timeout_us = 1500 * US_PER_MS;
+		mesh_start_all(&mesh);
+		mesh_converge_within(&mesh, CONVERGE_MS);
+		mesh_run(&mesh, SETTLE_MS);
+		for (i = 0; i < NODES; i += 2) {
+			uint32_t rank =
+				members_rank(&mesh.nodes[i].members, "link");
+
+			lost[i] = rank < cases[c].lost;
+			if (!lost[i])
+				last = i;
+		}
+		for (i = 0; i < NODES; i += 2)
+			mesh.nodes[i].paused = lost[i];
+		mesh_run(&mesh, LOST_BEFORE_MS);
+		members_set_upstream(&mesh.nodes[last].members, &own,
+				     mesh.now_us);
+		took_ms = known_elsewhere_ms(last, UPSTREAM_LEAVING);
+		cr_log_info("%s: %lld ms", cases[c].name, (long long)took_ms);
+		cr_expect_leq(took_ms, KNOWN_MS, "%s: %lld ms", cases[c].name,
+			      (long long)took_ms);
+		mesh_finish(&mesh);
+		memset(&mesh, 0, sizeof(mesh));
+	}
+}
