--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -12,7 +12,12 @@
 
 #include "os/clock.h"
 
-enum { READY_TIMEOUT_MS = 20000, POLL_MS = 20, ANSWER_SIZE = 1 << 18 };
+enum {
+	READY_TIMEOUT_MS = 20000,
+	POLL_MS = 20,
+	ANSWER_SIZE = 1 << 18,
+	LOG_PRINTED_BYTES = 2000,
+};
 
 static void sleep_ms(int64_t ms)
 {
@@ -123,9 +128,34 @@
 				  ENDPOINT_SIZE);
 }
 
+/* Prints the end of the log of a node that did not start: the log is deleted
+ * with the cluster. */
+static void print_log(const struct cluster *cluster, uint32_t i)
+{
+	char text[LOG_PRINTED_BYTES + 1];
+	char log[256];
+	size_t size;
+	FILE *file;
+
+	format_path(cluster, log, sizeof(log), "node", i, "log");
+	file = fopen(log, "re");
+	if (!file)
+		return;
+	if (fseek(file, -LOG_PRINTED_BYTES, SEEK_END))
+		rewind(file);
+	size = fread(text, 1, LOG_PRINTED_BYTES, file);
+	text[size] = '\0';
+	fprintf(stderr, "node %u did not start, exit status %d:\n%s\n", i,
+		cluster->nodes[i].process.exit_status, text);
+	fclose(file);
+}
+
 bool cluster_start_node(struct cluster *cluster, uint32_t i)
 {
-	return cluster_spawn_node(cluster, i) && cluster_wait_node(cluster, i);
+	if (cluster_spawn_node(cluster, i) && cluster_wait_node(cluster, i))
+		return true;
+	print_log(cluster, i);
+	return false;
 }
 
 bool cluster_start_upstream(struct cluster *cluster, uint32_t i)
