fleet: clusters of different processes have different addresses

All tests, soaks and trials took ports of the same addresses, 127.0.N.1, from the kernel, so another cluster could take the port of a node while it was down. Not a fault of the node.

Each process now has addresses of its own, 127.X.N.Y by its process id. No check or bound is changed.

--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -17,6 +17,7 @@
 	POLL_MS = 20,
 	ANSWER_SIZE = 1 << 18,
 	LOG_PRINTED_BYTES = 2000,
+	OCTETS = 250,
 };
 
 static void sleep_ms(int64_t ms)
@@ -51,6 +52,18 @@
 	fputs("]\n", file);
 }
 
+/* Each process has addresses of its own: a node that restarts would otherwise
+ * find its port taken by a node of a cluster that another process starts. */
+static uint32_t network_octet(void)
+{
+	return 1 + (uint32_t)getpid() % OCTETS;
+}
+
+static uint32_t host_octet(void)
+{
+	return 1 + (uint32_t)getpid() / OCTETS % OCTETS;
+}
+
 static void write_listen(const struct cluster_node *node, FILE *file)
 {
 	const struct {
@@ -69,8 +82,9 @@
 			fprintf(file, "%s = \"%s\"\n", rows[i].key,
 				rows[i].address);
 		else
-			fprintf(file, "%s = \"127.0.%u.1:0\"\n", rows[i].key,
-				node->centre + 1);
+			fprintf(file, "%s = \"127.%u.%u.%u:0\"\n", rows[i].key,
+				network_octet(), node->centre + 1,
+				host_octet());
 }
 
 static bool write_settings(struct cluster *cluster, uint32_t i)
@@ -456,9 +470,9 @@
 			if (crosses)
 				used += (size_t)snprintf(
 					body + used, sizeof(body) - used,
-					"%s\"127.0.%u.0/24\"",
+					"%s\"127.%u.%u.0/24\"",
 					body[used - 1] == '[' ? "" : ",",
-					other + 1);
+					network_octet(), other + 1);
 		}
 		snprintf(body + used, sizeof(body) - used, "]}");
 		fetch_simple("PUT", node->operator_address, "/v1/drill", body,
