golden: a log line about a long turn is not part of a session

Any program logs it on a busy machine. Such a line alone is left out, at the beginning of a line and with that event; all others are compared as before.

--- a/test/functional/golden_test.c
+++ b/test/functional/golden_test.c
@@ -76,6 +76,12 @@
 		{ "p: the service refuses calls", "p: REASON" },
 		{ "p: the deadline has passed", "p: REASON" },
 		{ "x127.0.0.1:1", "x127.0.0.1:1" },
+		{ "a\n{\"time\":1,\"event\":\"long_turn\"}\nb", "a\nb" },
+		{ "{\"time\":1,\"event\":\"long_turn\"}", "" },
+		{ "{\"time\":1,\"event\":\"drained\"}\nb",
+		  "{\"time\":1,\"event\":\"drained\"}\nb" },
+		{ "a {\"time\":1,\"event\":\"long_turn\"}",
+		  "a {\"time\":1,\"event\":\"long_turn\"}" },
 	};
 	size_t i;
 
