--- a/review/kit/lib.sh
+++ b/review/kit/lib.sh
@@ -53,7 +53,8 @@
 # start_store CONFIG-TEXT
 start_store() {
 	printf '%s' "$1" > "$WORK/config.json"
-	"$KIT/store" "$STORE" "$WORK/config.json" &
+	"$KIT/store" "$STORE" "$WORK/config.json" "$WORK/store.events" &
+	STORE_PID=$!
 	PIDS+=($!)
 	sleep 0.2
 	kill -0 $! || cannot_run "the store does not start"
--- a/review/kit/store.c
+++ b/review/kit/store.c
@@ -12,9 +12,14 @@
  * The platform's metadata store: the reads, watches and transactions of the
  * section "The platform's metadata store" of PROTOCOL.md. Leases are left out,
  * because the system takes none. The operator has written one configuration
- * before the system starts.
+ * before the system starts. Signals stand for the operator and for the drill of
+ * LETTER-8:
  *
- *	store ADDRESS CONFIG-FILE
+ *	SIGUSR1	the operator writes the configuration that the file holds now
+ *	SIGUSR2	in turn: a copy is taken; the store is away; it is back, with
+ *		the copy, and Store-Era has risen by one
+ *
+ *	store ADDRESS CONFIG-FILE [LOG]
  */
 
 enum { KEYS_MAX = 4096, ANSWER_DELAY_US = 4000 };
@@ -30,6 +35,12 @@
 static struct item items[KEYS_MAX];
 static int item_count;
 static long long revision = 100;
+static struct item copied_items[KEYS_MAX];
+static int copied_count;
+static long long copied_revision;
+static int era = 1;
+static bool away;
+static char config_text[2 * 1024 * 1024];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t changed = PTHREAD_COND_INITIALIZER;
 
@@ -173,12 +184,19 @@
 	argument(target, "after", after_text);
 	argument(target, "wait_ms", wait_text);
 	until_s = now_s() + atof(wait_text) / 1000;
+	*body = NULL;
+	if (atoll(after_text) > revision) {
+		*body = with_as_of(json_object());
+		return 410;
+	}
 	for (;;) {
 		struct timespec until = {
 			(time_t)until_s,
 			(long)((until_s - (time_t)until_s) * 1e9)
 		};
 
+		if (away)
+			return 0;
 		events = json_array();
 		for (i = 0; i < item_count; i++)
 			if (has_prefix(items[i].key, prefix) &&
@@ -282,14 +300,17 @@
 
 		usleep(ANSWER_DELAY_US);
 		pthread_mutex_lock(&lock);
-		status = serve(request, &body);
+		status = away ? 0 : serve(request, &body);
 		pthread_mutex_unlock(&lock);
+		/* The connection ends without an answer. */
+		if (!status)
+			break;
 		text = json_dumps(body, JSON_COMPACT);
 		json_decref(body);
 		snprintf(head, sizeof(head),
 			 "HTTP/1.1 %d X\r\nContent-Type: application/json\r\n"
-			 "Content-Length: %zu\r\n\r\n",
-			 status, strlen(text));
+			 "Store-Era: %d\r\nContent-Length: %zu\r\n\r\n",
+			 status, era, strlen(text));
 		send_all(stream->fd, head, strlen(head));
 		send_all(stream->fd, text, strlen(text));
 		free(text);
@@ -326,25 +347,113 @@
 	return out;
 }
 
+static void write_config(const char *path)
+{
+	FILE *file = fopen(path, "r");
+	size_t size = file ? fread(config_text, 1, sizeof(config_text) - 1,
+				   file)
+			   : 0;
+	char *value;
+
+	if (!size) {
+		perror(path);
+		exit(2);
+	}
+	config_text[size] = '\0';
+	fclose(file);
+	value = encode(config_text);
+	pthread_mutex_lock(&lock);
+	revision++;
+	put("op/config", value);
+	pthread_cond_broadcast(&changed);
+	pthread_mutex_unlock(&lock);
+	free(value);
+}
+
+static void copy_items(struct item *to, const struct item *from, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++) {
+		to[i] = from[i];
+		to[i].value = strdup(from[i].value);
+	}
+}
+
+static const char *go_on_with_drill(void)
+{
+	static int step;
+
+	switch (step++ % 3) {
+	case 0:
+		copy_items(copied_items, items, item_count);
+		copied_count = item_count;
+		copied_revision = revision;
+		return "copied";
+	case 1:
+		away = true;
+		pthread_cond_broadcast(&changed);
+		return "away";
+	}
+	copy_items(items, copied_items, copied_count);
+	item_count = copied_count;
+	revision = copied_revision;
+	era++;
+	away = false;
+	return "back";
+}
+
+struct operator {
+	const char *config;
+	bool logs;
+	sigset_t signals;
+};
+
+static void *take_signals(void *data)
+{
+	struct operator *operator = data;
+	int number;
+
+	for (;;) {
+		const char *done = "acknowledges";
+
+		sigwait(&operator->signals, &number);
+		if (number == SIGUSR1) {
+			write_config(operator->config);
+		} else {
+			pthread_mutex_lock(&lock);
+			done = go_on_with_drill();
+			pthread_mutex_unlock(&lock);
+		}
+		if (operator->logs)
+			record("%s revision=%lld era=%d", done, revision, era);
+	}
+	return NULL;
+}
+
 int main(int argc, char **argv)
 {
-	static char text[HEAD_MAX];
-	FILE *file;
+	struct operator operator = { .config = argc > 2 ? argv[2] : NULL,
+				     .logs = argc > 3 };
+	pthread_t thread;
 	int listener;
 
-	if (argc != 3 || !(file = fopen(argv[2], "r"))) {
-		fprintf(stderr, "usage: store ADDRESS CONFIG-FILE\n");
+	if (argc < 3) {
+		fprintf(stderr, "usage: store ADDRESS CONFIG-FILE [LOG]\n");
 		return 2;
 	}
+	if (argc > 3)
+		record_open(argv[3], "store");
 	signal(SIGPIPE, SIG_IGN);
-	if (!fread(text, 1, sizeof(text) - 1, file))
-		return 2;
-	fclose(file);
-	put("op/config", encode(text));
+	sigemptyset(&operator.signals);
+	sigaddset(&operator.signals, SIGUSR1);
+	sigaddset(&operator.signals, SIGUSR2);
+	pthread_sigmask(SIG_BLOCK, &operator.signals, NULL);
+	write_config(operator.config);
+	pthread_create(&thread, NULL, take_signals, &operator);
 	listener = listen_at(argv[1]);
 	for (;;) {
 		int fd = accept(listener, NULL, NULL);
-		pthread_t thread;
 
 		if (fd < 0)
 			continue;
