--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,8 @@
 #!/bin/bash
 # Case 3. Exits with 1 if the rule REFUSED was broken, 0 if it held, 2 if the
-# case could not run. With TROUBLE=0 no answer is sent a second time.
+# case could not run. With TROUBLE=0 no answer is sent a second time. With
+# MAX_ATTEMPTS=3 the route allows three attempts instead of two; the same fault
+# then breaks the rule TWICE, which also gives 1.
 CASE=$(cd "$(dirname "$0")" && pwd)
 source "$CASE/../kit/lib.sh"
 
@@ -38,8 +40,11 @@
 			n += ran[id] && ran[id "r"]
 		print n + 0
 	}' "$RECORD")
+# Runs of one request under one id.
+twice=$(awk '$2 == "i-beta-2" && $3 == "runs" && ++runs[$4] == 2 { n++ }
+	END { print n + 0 }' "$RECORD")
 answered=$(grep -c ' got .* status=200 ' "$RECORD")
 echo "unsafe requests refused that have run: $refused (any breaks the rule" \
 	"REFUSED), of which $double ran again when the client repeated them;" \
-	"answered: $answered" | tee -a "$RECORD"
-finish $((refused > 0)) "$answered" 500
+	"run twice under one id: $twice; answered: $answered" | tee -a "$RECORD"
+finish $((refused + twice > 0)) "$answered" 500
--- a/review/kit/backend.c
+++ b/review/kit/backend.c
@@ -239,6 +239,7 @@
 				       .reason = "OK",
 				       .stamped = true,
 				       .unframed = true };
+	const struct linger at_once = { 1, 0 };
 	struct stream *stream = &connection->stream;
 	bool cut = is_spoiled("cut");
 	size_t size;
@@ -251,7 +252,9 @@
 		record("spoils %s reset after %zu of %zu bytes", request_id,
 		       size / 2, size);
 		free(text);
-		/* Bytes of the body are unread: closing resets. */
+		/* The close that follows resets the connection. */
+		setsockopt(stream->fd, SOL_SOCKET, SO_LINGER, &at_once,
+			   sizeof(at_once));
 		return;
 	}
 	send_all(stream->fd, text, size);
--- a/review/kit/lib.sh
+++ b/review/kit/lib.sh
@@ -167,7 +167,7 @@
 	printf '"r-%s":{"host":"%s.example","prefix":"/%s/","kind":"%s",' \
 		"$1" "$1" "$1" "$2"
 	printf '"timeout_s":1.2,"target_latency_s":0.5,"priority":1,'
-	printf '"service":"%s","max_attempts":2}' "$1"
+	printf '"service":"%s","max_attempts":%d}' "$1" "${MAX_ATTEMPTS:-2}"
 }
 
 # alpha has safe requests, beta has unsafe ones
