--- a/src/call/link.c
+++ b/src/call/link.c
@@ -3,6 +3,10 @@
 #include <assert.h>
 #include <string.h>
 
+#include "base/log.h"
+
+static const char component[] = "call";
+
 static void pipe_run(void *data)
 {
 	struct link_pipe *pipe = data;
@@ -22,9 +26,14 @@
 		valid = message_decode(&message, buffer_data(&bytes), size,
 				       &err) &&
 			call_frame_decode(&frame, &message, &err);
+		if (!valid) {
+			log_error(component, "frame_invalid",
+				  LOG_TEXT("text", err.text),
+				  LOG_NUMBER("bytes", size));
+			log_flush(true);
+		}
 		/* The frames were written by this process. */
 		assert(valid);
-		(void)valid;
 		pipe->take(&frame, pipe->data);
 		message_finish(&message);
 		buffer_consume(&bytes, size);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -63,6 +63,7 @@
 		.delimited = transfer->delimited,
 		.timed_out = code == ERROR_TIMEOUT,
 		.reused = transfer->reused,
+		.connection = transfer->connection,
 		.err = &err,
 	};
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -74,6 +74,7 @@
  *	is detected
  * @timed_out: whether @timeout_ms or @connect_timeout_ms of the request passed
  * @reused: whether the request used an idle connection
+ * @connection: number of the connection within its client; 0 if there was none
  * @err: reason why there is no complete answer
  */
 struct http_answer {
@@ -86,6 +87,7 @@
 	bool delimited;
 	bool timed_out;
 	bool reused;
+	uint64_t connection;
 	const struct error *err;
 };
 
@@ -109,7 +111,7 @@
  * @transfers: list of the requests in progress
  * @idle: list of idle connections, the most recently used first
  * @idle_timer: periodic check for connections that were idle for too long
- * @opened_connections: number of connections opened so far
+ * @opened_connections: number of connections used so far
  */
 struct http_client {
 	struct loop *loop;
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -366,6 +366,16 @@
 		read_input(conn);
 }
 
+static void set_transfer(struct client_conn *conn,
+			 struct http_transfer *transfer)
+{
+	conn->transfer = transfer;
+	transfer->conn = conn;
+	transfer->connection = conn->number;
+	http_parser_init(&conn->parser, HTTP_RESPONSE);
+	conn->parser.data = conn;
+}
+
 static struct client_conn *conn_new(struct http_transfer *transfer, int fd,
 				    enum client_conn_state state, int events)
 {
@@ -378,10 +388,8 @@
 	conn->fd = fd;
 	conn->server_address = transfer->server_address;
 	conn->state = state;
-	conn->transfer = transfer;
-	transfer->conn = conn;
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
+	conn->number = ++conn->client->opened_connections;
+	set_transfer(conn, transfer);
 	net_enable_keepalive(fd);
 	if (watch_start(&conn->watch, conn->client->loop, fd, events,
 			conn_ready, conn, &err))
@@ -397,7 +405,6 @@
 
 	if (fd == NET_NONE)
 		return NULL;
-	transfer->client->opened_connections++;
 	counter_add(&opened_count, 1);
 	return conn_new(transfer, fd, CLIENT_CONNECTING, LOOP_WRITE);
 }
@@ -438,10 +445,7 @@
 		}
 		DL_DELETE(transfer->client->idle, conn);
 		conn->state = CLIENT_BUSY;
-		conn->transfer = transfer;
-		transfer->conn = conn;
-		http_parser_init(&conn->parser, HTTP_RESPONSE);
-		conn->parser.data = conn;
+		set_transfer(conn, transfer);
 		transfer->reused = true;
 		counter_add(&reused_count, 1);
 		write_output(conn);
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -19,6 +19,7 @@
 
 /**
  * struct client_conn - one connection
+ * @number: number of the connection within its client, from 1
  * @transfer: current transfer; NULL while the connection is idle
  * @idle_us: start of the idle time, in microseconds of the loop time
  * @keep_alive_us: maximum idle time in microseconds
@@ -27,6 +28,7 @@
 	struct http_client *client;
 	struct client_conn *next;
 	struct client_conn *prev;
+	uint64_t number;
 	enum client_conn_state state;
 	struct address server_address;
 	int fd;
@@ -50,6 +52,7 @@
  * @written: whether any byte of the request was written
  * @write_failed: whether writing failed; the answer is still read
  * @reused: whether @conn was used by an earlier transfer
+ * @connection: number of the last @conn; 0 if there was none
  * @echo_header: name of the field that the answer repeats, or NULL
  * @echo_value: value of @echo_header in the request
  * @too_large: whether the answer exceeds a size limit
@@ -77,6 +80,7 @@
 	bool written;
 	bool write_failed;
 	bool reused;
+	uint64_t connection;
 	char *echo_header;
 	char *echo_value;
 	struct http_head head;
