http, call: one set of bounds for the fields of an answer

Cause: the HTTP client accepts 128 fields and 64 KiB of them, a frame between nodes carried 64 and 16 KiB, and pipe_run() asserted that a frame of this process decodes. Evidence: the reason, logged before the assertion, was "headers are not well-formed" for frames of 2,330 bytes, five ends of five. Ruled out: the bytes of the fields (16 KiB not reached), a fault of the parser, an end from outside.

Frames now carry what the HTTP client accepts (128 fields, 64 KiB of names and values), so that no accepted answer can be refused later. The client counts each piece before it stores it (http/answer_meter), and closes the connection once a bound is passed: 502, may-have-run. Trailer fields were appended to the head after its end; they are bounded alike and dropped. An undecodable local frame is logged and counted in place of an assertion. All other assertions in src/ were read: none rests on bytes from outside.

--- a/src/call/call_defs.h
+++ b/src/call/call_defs.h
@@ -7,6 +7,7 @@
 
 #include "base/verdict.h"
 #include "gate/gate.h"
+#include "http/head.h"
 #include "profile/profile.h"
 
 /**
@@ -23,8 +24,9 @@
 	CALL_DEADLINE_MAX_MS = 10 * 60 * 1000,
 	CALL_WEIGHT_MAX = KIND_WEIGHT_MAX,
 	CALL_PART_BYTES = 64 * 1024,
-	CALL_HEADERS_MAX = 64,
-	CALL_HEADERS_MAX_BYTES = 16 * 1024,
+	/* Frames carry whatever the HTTP client and server accept. */
+	CALL_HEADERS_MAX = HTTP_FIELDS_MAX,
+	CALL_HEADERS_MAX_BYTES = HTTP_FIELDS_MAX_BYTES,
 	CALL_TARGET_SIZE = 8 * 1024,
 	REQUEST_ID_SIZE = 64,
 	UPSTREAM_ID_SIZE = 64,
--- a/src/call/link.c
+++ b/src/call/link.c
@@ -1,12 +1,40 @@
 #include "call/link.h"
 
-#include <assert.h>
 #include <string.h>
 
+#include "base/counter.h"
 #include "base/log.h"
 
 static const char component[] = "call";
 
+COUNTER(invalid_count, "call.frames_invalid",
+	"Frames of this process to itself that could not be decoded");
+
+/* The call of the frame ends at its deadline. */
+static void drop_frame(uint32_t size, const struct error *err)
+{
+	counter_add(&invalid_count, 1);
+	log_error(component, "frame_invalid", LOG_TEXT("text", err->text),
+		  LOG_NUMBER("bytes", size));
+}
+
+static void take_frame(struct link_pipe *pipe, const void *data, uint32_t size)
+{
+	struct error err = ERROR_INIT;
+	struct call_frame frame;
+	struct message message;
+
+	if (!message_decode(&message, data, size, &err)) {
+		drop_frame(size, &err);
+		return;
+	}
+	if (call_frame_decode(&frame, &message, &err))
+		pipe->take(&frame, pipe->data);
+	else
+		drop_frame(size, &err);
+	message_finish(&message);
+}
+
 static void pipe_run(void *data)
 {
 	struct link_pipe *pipe = data;
@@ -15,27 +43,11 @@
 	/* Frames sent by a callback go into a new buffer for the next turn. */
 	memset(&pipe->bytes, 0, sizeof(pipe->bytes));
 	while (buffer_size(&bytes)) {
-		struct error err = ERROR_INIT;
-		struct call_frame frame;
-		struct message message;
 		uint32_t size;
-		bool valid;
 
 		memcpy(&size, buffer_data(&bytes), sizeof(size));
 		buffer_consume(&bytes, sizeof(size));
-		valid = message_decode(&message, buffer_data(&bytes), size,
-				       &err) &&
-			call_frame_decode(&frame, &message, &err);
-		if (!valid) {
-			log_error(component, "frame_invalid",
-				  LOG_TEXT("text", err.text),
-				  LOG_NUMBER("bytes", size));
-			log_flush(true);
-		}
-		/* The frames were written by this process. */
-		assert(valid);
-		pipe->take(&frame, pipe->data);
-		message_finish(&message);
+		take_frame(pipe, buffer_data(&bytes), size);
 		buffer_consume(&bytes, size);
 	}
 	buffer_finish(&bytes);
--- a/src/call/path_test.c
+++ b/src/call/path_test.c
@@ -221,6 +221,7 @@
 	result->delivery = answer->delivery;
 	result->status = answer->status;
 	result->body_size = answer->body_size;
+	result->header_count = answer->header_count;
 	copy_header(answer, HEADER_VERDICT, result->verdict,
 		    sizeof(result->verdict));
 	copy_header(answer, HEADER_REASON, result->reason,
--- a/src/call/path_test.h
+++ b/src/call/path_test.h
@@ -38,6 +38,7 @@
 	BEHAVE_FORGED_VERDICT, /* answers with a verdict header */
 	BEHAVE_BIG,	       /* answers with PATH_BIG_BYTES */
 	BEHAVE_HEAD,	       /* answers with a length but no body */
+	BEHAVE_SCRIPT,	       /* sends the bytes of @script */
 };
 
 enum { PATH_BIG_BYTES = 700 * 1000 };
@@ -67,6 +68,7 @@
 	uint32_t closed_by_node; /* connections closed before the answer */
 	size_t body_bytes;
 	char seen[4096]; /* head of the last request */
+	const char *script;
 };
 
 struct relay_conn {
@@ -109,6 +111,7 @@
 	char body[64];
 	size_t body_size;
 	char length[16];
+	size_t header_count;
 	struct http_transfer *transfer;
 };
 
--- a/src/call/path_upstream_test.c
+++ b/src/call/path_upstream_test.c
@@ -131,6 +131,9 @@
 		fake_write_text(
 			conn, "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
 		break;
+	case BEHAVE_SCRIPT:
+		fake_write_text(conn, upstream->script);
+		break;
 	}
 }
 
--- /dev/null
+++ b/src/http/answer_meter.h
@@ -0,0 +1,76 @@
+#ifndef HTTP_ANSWER_METER_H
+#define HTTP_ANSWER_METER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/**
+ * DOC: answer meter
+ *
+ * Bounds of what a server may send as the answer to one request. The client
+ * reports each piece before it stores the piece, and closes the connection once
+ * a bound is passed. Has no I/O.
+ */
+
+/** enum answer_limit - bounds of an answer. */
+enum answer_limit {
+	ANSWER_LIMIT_NONE,
+	ANSWER_LIMIT_FIELDS,	  /* fields of the head or the trailers */
+	ANSWER_LIMIT_FIELD_BYTES, /* bytes of the head or the trailers */
+	ANSWER_LIMIT_BODY_BYTES,
+};
+
+/**
+ * struct answer_meter - what the server has sent
+ * @body_max: maximum size of the body in bytes
+ * @fields: fields of the present head or trailers
+ * @field_bytes: their size, see HTTP_FIELDS_MAX_BYTES
+ * @in_value: whether the last piece of a field belonged to its value
+ * @body_bytes: size of the body so far
+ * @passed: first bound that was passed
+ * @maximum: value of that bound
+ */
+struct answer_meter {
+	uint64_t body_max;
+	uint32_t fields;
+	uint64_t field_bytes;
+	bool in_value;
+	uint64_t body_bytes;
+	enum answer_limit passed;
+	uint64_t maximum;
+};
+
+void answer_meter_init(struct answer_meter *meter, uint64_t body_max);
+
+/** answer_meter_begin() - begins an answer with its head. */
+void answer_meter_begin(struct answer_meter *meter);
+
+/** answer_meter_head_end() - ends the head; later fields are trailers. */
+void answer_meter_head_end(struct answer_meter *meter);
+
+/**
+ * answer_meter_add_name() - adds a piece of a field name
+ *
+ * Return: false if a bound is passed.
+ */
+bool answer_meter_add_name(struct answer_meter *meter, size_t size);
+
+/**
+ * answer_meter_add_value() - adds a piece of a field value
+ *
+ * Return: false if a bound is passed.
+ */
+bool answer_meter_add_value(struct answer_meter *meter, size_t size);
+
+/**
+ * answer_meter_add_body() - adds a piece of the body
+ *
+ * Return: false if a bound is passed.
+ */
+bool answer_meter_add_body(struct answer_meter *meter, size_t size);
+
+/** answer_limit_name() - returns the stable name of a bound, for logs. */
+const char *answer_limit_name(enum answer_limit limit);
+
+#endif
--- /dev/null
+++ b/src/http/answer_meter_test.c
@@ -0,0 +1,112 @@
+#include <criterion/criterion.h>
+
+#include "http/answer_meter.h"
+#include "http/head.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+enum { BODY_MAX_BYTES = 1000 };
+
+enum piece {
+	PIECE_NAME,
+	PIECE_VALUE,
+	PIECE_HEAD_END,
+	PIECE_BODY,
+	PIECE_NEXT_ANSWER,
+};
+
+/* A number of equal pieces. */
+struct step {
+	enum piece piece;
+	uint32_t count;
+	size_t size_bytes;
+};
+
+static bool add(struct answer_meter *meter, const struct step *step)
+{
+	switch (step->piece) {
+	case PIECE_NAME:
+		return answer_meter_add_name(meter, step->size_bytes) &&
+		       answer_meter_add_value(meter, 0);
+	case PIECE_VALUE:
+		return answer_meter_add_value(meter, step->size_bytes);
+	case PIECE_HEAD_END:
+		answer_meter_head_end(meter);
+		return true;
+	case PIECE_BODY:
+		return answer_meter_add_body(meter, step->size_bytes);
+	case PIECE_NEXT_ANSWER:
+		answer_meter_begin(meter);
+		return true;
+	}
+	return false;
+}
+
+/* Guards against holding more of an answer than its bounds allow, and against
+ * refusing an answer at its bounds. */
+Test(answer_meter, bounds)
+{
+	static const struct {
+		const char *name;
+		struct step steps[5];
+		enum answer_limit passed;
+	} cases[] = {
+		{ "fields at the limit",
+		  { { PIECE_NAME, HTTP_FIELDS_MAX, 4 } },
+		  ANSWER_LIMIT_NONE },
+		{ "one field more",
+		  { { PIECE_NAME, HTTP_FIELDS_MAX + 1, 4 } },
+		  ANSWER_LIMIT_FIELDS },
+		{ "a value at the limit",
+		  { { PIECE_NAME, 1, 10 },
+		    { PIECE_VALUE, 1, HTTP_FIELDS_MAX_BYTES - 12 } },
+		  ANSWER_LIMIT_NONE },
+		{ "one byte more",
+		  { { PIECE_NAME, 1, 10 },
+		    { PIECE_VALUE, 1, HTTP_FIELDS_MAX_BYTES - 11 } },
+		  ANSWER_LIMIT_FIELD_BYTES },
+		{ "a value in pieces",
+		  { { PIECE_NAME, 1, 10 }, { PIECE_VALUE, 70, 1000 } },
+		  ANSWER_LIMIT_FIELD_BYTES },
+		{ "trailers at the limit",
+		  { { PIECE_NAME, HTTP_FIELDS_MAX, 4 },
+		    { PIECE_HEAD_END, 1, 0 },
+		    { PIECE_NAME, HTTP_FIELDS_MAX, 4 } },
+		  ANSWER_LIMIT_NONE },
+		{ "one trailer more",
+		  { { PIECE_HEAD_END, 1, 0 },
+		    { PIECE_NAME, HTTP_FIELDS_MAX + 1, 4 } },
+		  ANSWER_LIMIT_FIELDS },
+		{ "a body at the limit",
+		  { { PIECE_BODY, 10, 100 } },
+		  ANSWER_LIMIT_NONE },
+		{ "a longer body",
+		  { { PIECE_BODY, 11, 100 } },
+		  ANSWER_LIMIT_BODY_BYTES },
+		{ "the next answer",
+		  { { PIECE_NAME, HTTP_FIELDS_MAX, 4 },
+		    { PIECE_HEAD_END, 1, 0 },
+		    { PIECE_BODY, 10, 100 },
+		    { PIECE_NEXT_ANSWER, 1, 0 },
+		    { PIECE_BODY, 10, 100 } },
+		  ANSWER_LIMIT_NONE },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct answer_meter meter;
+		bool fits = true;
+		size_t j;
+		uint32_t k;
+
+		answer_meter_init(&meter, BODY_MAX_BYTES);
+		answer_meter_begin(&meter);
+		for (j = 0; j < COUNT(cases[i].steps) && fits; j++)
+			for (k = 0; k < cases[i].steps[j].count && fits; k++)
+				fits = add(&meter, &cases[i].steps[j]);
+		cr_expect_eq(fits, cases[i].passed == ANSWER_LIMIT_NONE, "%s",
+			     cases[i].name);
+		cr_expect_eq(meter.passed, cases[i].passed, "%s: %s",
+			     cases[i].name, answer_limit_name(meter.passed));
+	}
+}
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -237,7 +237,7 @@
 		transfer->connect_deadline_us =
 			now_us + request->connect_timeout_ms * US_PER_MS;
 	transfer->idle_max_us = request->idle_max_ms * US_PER_MS;
-	transfer->max_answer_bytes = request->max_answer_bytes;
+	answer_meter_init(&transfer->meter, request->max_answer_bytes);
 }
 
 struct http_transfer *http_client_send(struct http_client *client,
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -1,5 +1,6 @@
 #include "http/client_conn.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
@@ -12,7 +13,7 @@
 enum {
 	READ_BYTES = 64 * 1024,
 	READ_ROUNDS = 4,
-	HEAD_MAX_BYTES = 64 * 1024,
+	TEXT_SIZE = 96,
 	/* Used if the server does not send a Keep-Alive timeout. */
 	KEEP_ALIVE_DEFAULT_MS = 4000,
 	KEEP_ALIVE_MAX_MS = 60 * 1000,
@@ -28,6 +29,8 @@
 
 COUNTER(stray_count, "http.stray_answers",
 	"Answers skipped because they belonged to an earlier request");
+COUNTER(over_limit_count, "http.answers_over_limit",
+	"Answers refused because they exceed a limit of their size");
 COUNTER(reused_count, "http.connections_reused",
 	"Outgoing requests that went on a kept connection");
 COUNTER(opened_count, "http.connections_opened",
@@ -70,34 +73,34 @@
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
+	answer_meter_begin(&transfer->meter);
+	transfer->in_head = true;
 	http_head_reset(&transfer->head);
 	buffer_consume(&transfer->body, buffer_size(&transfer->body));
 	return 0;
 }
 
-static bool head_fits(struct http_transfer *transfer)
-{
-	/* An answer is refused rather than passed on without some fields. */
-	transfer->too_large = buffer_size(&transfer->head.fields) >
-				      HEAD_MAX_BYTES ||
-			      transfer->head.count >= HTTP_FIELDS_MAX;
-	return !transfer->too_large;
-}
-
+/* Trailer fields after a chunked body are discarded. */
 static int on_name(http_parser *parser, const char *at, size_t size)
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
-	http_head_append_name(&transfer->head, at, size);
-	return head_fits(transfer) ? 0 : -1;
+	if (!answer_meter_add_name(&transfer->meter, size))
+		return -1;
+	if (transfer->in_head)
+		http_head_append_name(&transfer->head, at, size);
+	return 0;
 }
 
 static int on_value(http_parser *parser, const char *at, size_t size)
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
-	http_head_append_value(&transfer->head, at, size);
-	return head_fits(transfer) ? 0 : -1;
+	if (!answer_meter_add_value(&transfer->meter, size))
+		return -1;
+	if (transfer->in_head)
+		http_head_append_value(&transfer->head, at, size);
+	return 0;
 }
 
 /* Returns whether the end of the answer is known before the connection ends. */
@@ -115,6 +118,8 @@
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
+	answer_meter_head_end(&transfer->meter);
+	transfer->in_head = false;
 	http_head_end(&transfer->head);
 	transfer->status = parser->status_code;
 	transfer->delimited = is_delimited(transfer, parser);
@@ -129,10 +134,8 @@
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
-	if (buffer_size(&transfer->body) + size > transfer->max_answer_bytes) {
-		transfer->too_large = true;
+	if (!answer_meter_add_body(&transfer->meter, size))
 		return -1;
-	}
 	buffer_append(&transfer->body, at, size);
 	return 0;
 }
@@ -225,6 +228,18 @@
 	transfer_end(transfer, ERROR_NONE, "");
 }
 
+static void fail_over_limit(struct client_conn *conn)
+{
+	const struct answer_meter *meter = &conn->transfer->meter;
+	char text[TEXT_SIZE];
+
+	counter_add(&over_limit_count, 1);
+	snprintf(text, sizeof(text), "answer exceeds the limit of %llu %s",
+		 (unsigned long long)meter->maximum,
+		 answer_limit_name(meter->passed));
+	fail(conn, ERROR_LIMIT, text);
+}
+
 /* Return: false if the connection or its transfer has ended. */
 static bool parse(struct client_conn *conn, const char *data, size_t size)
 {
@@ -235,12 +250,13 @@
 						  data, size);
 		enum http_errno code = HTTP_PARSER_ERRNO(&conn->parser);
 
+		if (transfer->meter.passed != ANSWER_LIMIT_NONE) {
+			fail_over_limit(conn);
+			return false;
+		}
 		if (code != HPE_OK && code != HPE_PAUSED) {
-			fail(conn,
-			     transfer->too_large ? ERROR_LIMIT : ERROR_PROTOCOL,
-			     transfer->too_large
-				     ? "answer too large"
-				     : http_errno_description(code));
+			fail(conn, ERROR_PROTOCOL,
+			     http_errno_description(code));
 			return false;
 		}
 		if (!transfer->complete)
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -3,6 +3,7 @@
 
 #include <http_parser.h>
 
+#include "http/answer_meter.h"
 #include "http/client.h"
 
 /**
@@ -55,7 +56,8 @@
  * @connection: number of the last @conn; 0 if there was none
  * @echo_header: name of the field that the answer repeats, or NULL
  * @echo_value: value of @echo_header in the request
- * @too_large: whether the answer exceeds a size limit
+ * @meter: bounds of the answer
+ * @in_head: whether the head of an answer is being parsed
  * @complete: whether the answer is complete
  * @delimited: whether the answer states its length
  * @keep_alive: whether the server allows reuse of the connection
@@ -85,8 +87,8 @@
 	char *echo_value;
 	struct http_head head;
 	struct buffer body;
-	size_t max_answer_bytes;
-	bool too_large;
+	struct answer_meter meter;
+	bool in_head;
 	bool complete;
 	bool delimited;
 	bool keep_alive;
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -14,7 +14,11 @@
  * passes to its callbacks. Each field is stored as "name\0value\0".
  */
 
-enum { HTTP_FIELDS_MAX = 128 };
+enum {
+	HTTP_FIELDS_MAX = 128,
+	/* Names and values with their terminating NULs. */
+	HTTP_FIELDS_MAX_BYTES = 64 * 1024,
+};
 
 /** struct http_header - one header field. */
 struct http_header {
