http: an attempt never uses a connection that carried its request

What callers saw: an unsafe request that runs is answered 503, not run; the caller repeats it and the work is done twice, 6 to 8 times in 16 s. With max_attempts 3 one ID runs twice at the backend.

Cause: a backend may send an answer twice, the copy where the next answer is expected. The client tells it apart by the request's ID, but the second attempt has the same ID and went out on the connection that the rejection had just freed. Evidence: for five of five such requests both lines "served" have status 429 and the same connection_number. Ruled out: a refusal by the gate, a deadline, a cancellation, a second rejection by the backend.

A connection now remembers the IDs that it carried until their requests' time has passed, and requests with one of these IDs pass it over. So an extra answer always has another ID than the request that waits on its connection. Rejections still leave their connection open: a new one costs the upstream a slot.

--- /dev/null
+++ b/src/http/carried_test.c
@@ -0,0 +1,58 @@
+#include <criterion/criterion.h>
+#include <stdio.h>
+
+#include "http/carried.h"
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
+/* Guards against another attempt at a request on a connection that may still
+ * deliver a copy of the answer to the first attempt. */
+Test(carried, a_request_is_known_until_its_time_ends)
+{
+	static const struct {
+		const char *name;
+		const char *id;
+		int64_t now_us;
+		bool expected;
+	} cases[] = {
+		{ "same request", "a", 10, true },
+		{ "same request, carried before others", "b", 10, true },
+		{ "another request", "d", 10, false },
+		{ "request without an end", "c", INT64_MAX - 1, true },
+		{ "at the end of its time", "a", 100, false },
+		{ "begins with the same text", "aa", 10, false },
+	};
+	struct carried carried;
+	size_t i;
+
+	carried_init(&carried);
+	carried_add(&carried, "b", 300);
+	carried_add(&carried, "a", 100);
+	carried_add(&carried, "c", INT64_MAX);
+	for (i = 0; i < COUNT(cases); i++)
+		cr_expect_eq(carried_has(&carried, cases[i].id,
+					 cases[i].now_us),
+			     cases[i].expected, "%s", cases[i].name);
+	carried_finish(&carried);
+}
+
+/* Guards against memory that grows with the requests on a connection, and
+ * against forgetting one of them while it may be repeated. */
+Test(carried, a_connection_with_many_requests_is_full)
+{
+	struct carried carried;
+	char id[16];
+	int i;
+
+	carried_init(&carried);
+	for (i = 0; i < CARRIED_MAX; i++) {
+		cr_expect_not(carried_is_full(&carried, 0), "%d", i);
+		snprintf(id, sizeof(id), "%d", i);
+		carried_add(&carried, id, 1000 + i);
+	}
+	cr_expect(carried_is_full(&carried, 999));
+	cr_expect_not(carried_is_full(&carried, 1000));
+	cr_expect_not(carried_has(&carried, "0", 1000));
+	cr_expect(carried_has(&carried, "1", 1000));
+	carried_finish(&carried);
+}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -47,7 +47,9 @@
  *	@url, owned by the client from now on; 0 for none
  * @echo_header: name of a header field that the answer repeats from the
  *	request. An answer with another value of the field belongs to an earlier
- *	request on the connection and is skipped. NULL for no such field
+ *	request on the connection and is skipped; the request does not use a
+ *	connection that has carried a request with the same value. NULL for no
+ *	such field
  */
 struct http_request {
 	const char *method;
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -21,6 +21,8 @@
 	 * starts earlier. */
 	KEEP_ALIVE_PERCENT = 80,
 	IDLE_CHECK_MS = 1000,
+	/* Attempts at a request reach this process with different delays. */
+	REPEAT_MARGIN_MS = 1000,
 	STATUS_SWITCHING = 101,
 	STATUS_OK = 200,
 	STATUS_NO_CONTENT = 204,
@@ -31,6 +33,8 @@
 	"Answers skipped because they belonged to an earlier request");
 COUNTER(over_limit_count, "http.answers_over_limit",
 	"Answers refused because they exceed a limit of their size");
+COUNTER(repeated_count, "http.connections_passed_over",
+	"Kept connections not used because they carried the request before");
 COUNTER(reused_count, "http.connections_reused",
 	"Outgoing requests that went on a kept connection");
 COUNTER(opened_count, "http.connections_opened",
@@ -51,6 +55,7 @@
 		conn->transfer->conn = NULL;
 	watch_stop(&conn->watch);
 	net_close(conn->fd);
+	carried_finish(&conn->carried);
 	free(conn);
 }
 
@@ -218,7 +223,8 @@
 	bool reusable = transfer->keep_alive &&
 			!transfer->needs_new_connection && !excess_size &&
 			transfer->delimited && !buffer_size(&transfer->out) &&
-			!transfer->write_failed;
+			!transfer->write_failed &&
+			!carried_is_full(&conn->carried, now(conn));
 
 	conn->keep_alive_us = reusable ? parse_keep_alive_us(transfer) : 0;
 	if (conn->keep_alive_us > 0)
@@ -382,9 +388,19 @@
 		read_input(conn);
 }
 
+static int64_t repeated_until_us(const struct http_transfer *transfer)
+{
+	if (!transfer->exchange_deadline_us)
+		return INT64_MAX;
+	return transfer->exchange_deadline_us + REPEAT_MARGIN_MS * US_PER_MS;
+}
+
 static void set_transfer(struct client_conn *conn,
 			 struct http_transfer *transfer)
 {
+	if (transfer->echo_header)
+		carried_add(&conn->carried, transfer->echo_value,
+			    repeated_until_us(transfer));
 	conn->transfer = transfer;
 	transfer->conn = conn;
 	transfer->connection = conn->number;
@@ -401,6 +417,7 @@
 	if (!conn)
 		abort();
 	conn->client = transfer->client;
+	carried_init(&conn->carried);
 	conn->fd = fd;
 	conn->server_address = transfer->server_address;
 	conn->state = state;
@@ -440,10 +457,15 @@
 {
 	int64_t idle_us = now(conn) - conn->idle_us;
 
-	return address_equal(&conn->server_address,
-			     &transfer->server_address) &&
-	       idle_us < conn->keep_alive_us &&
-	       (!transfer->idle_max_us || idle_us < transfer->idle_max_us);
+	if (!address_equal(&conn->server_address, &transfer->server_address) ||
+	    idle_us >= conn->keep_alive_us ||
+	    (transfer->idle_max_us && idle_us >= transfer->idle_max_us))
+		return false;
+	if (!transfer->echo_header ||
+	    !carried_has(&conn->carried, transfer->echo_value, now(conn)))
+		return true;
+	counter_add(&repeated_count, 1);
+	return false;
 }
 
 struct client_conn *client_conn_reuse(struct http_transfer *transfer)
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -4,6 +4,7 @@
 #include <http_parser.h>
 
 #include "http/answer_meter.h"
+#include "http/carried.h"
 #include "http/client.h"
 
 /**
@@ -21,6 +22,7 @@
 /**
  * struct client_conn - one connection
  * @number: number of the connection within its client, from 1
+ * @carried: requests of its transfers, as far as answers repeat an ID
  * @transfer: current transfer; NULL while the connection is idle
  * @idle_us: start of the idle time, in microseconds of the loop time
  * @keep_alive_us: maximum idle time in microseconds
@@ -30,6 +32,7 @@
 	struct client_conn *next;
 	struct client_conn *prev;
 	uint64_t number;
+	struct carried carried;
 	enum client_conn_state state;
 	struct address server_address;
 	int fd;
