http: a stray answer that ends with its connection is not the answer

Test: two rows of framing/an_answer_is_complete_and_its_own_or_none; "one left over without a length" gave status 200 before.

--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -291,6 +291,7 @@
 		finish_answer(conn, 0);
 		return;
 	}
+	transfer->complete = false;
 	fail(conn, ERROR_IO, "closed without a whole answer");
 }
 
