http: an answer without a length ends by a reset only as broken off

Cause: the client wrote before it read. send() took the error of the reset socket, which is reported once, and recv() then ended as at a regular close. Evidence: three rows of the new test, in which a write is pending, were complete before; the rows with a length, with chunks, and the row of framing without a pending write were not. So neither the parser nor net_read() takes a reset for an end.

The client reads to the end before it writes, and an answer without a length whose connection failed in a write is broken off. Reading first keeps the early answer of a sound upstream that closes while the request is being written; a trial that only counted the failed write refused it (row "no length, closed, then reset").

--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -280,22 +280,35 @@
 	}
 }
 
-/* Closing the connection completes an answer that states no length. */
+/*
+ * Closing the connection completes an answer that states no length. A socket
+ * reports its error only once: after a failed write, the end of a connection
+ * that was reset looks like a regular one.
+ */
 static void server_closed(struct client_conn *conn)
 {
 	struct http_transfer *transfer = conn->transfer;
 
 	http_parser_execute(&conn->parser, &settings, NULL, 0);
-	if (transfer->complete && !is_skipped(transfer)) {
+	if (transfer->complete && !is_skipped(transfer) &&
+	    !transfer->write_failed) {
 		transfer->keep_alive = false;
 		finish_answer(conn, 0);
 		return;
 	}
 	transfer->complete = false;
-	fail(conn, ERROR_IO, "closed without a whole answer");
+	fail(conn, ERROR_IO,
+	     transfer->write_failed ? "connection failed before a whole answer"
+				    : "closed without a whole answer");
 }
 
-static void read_input(struct client_conn *conn)
+enum read_result {
+	READ_ENDED, /* the connection or its transfer */
+	READ_MORE,  /* more bytes may be waiting */
+	READ_ALL,
+};
+
+static enum read_result read_input(struct client_conn *conn)
 {
 	static char data[READ_BYTES];
 	int round;
@@ -306,19 +319,22 @@
 
 		switch (result) {
 		case NET_AGAIN:
-			return;
+			return READ_ALL;
 		case NET_CLOSED:
 			server_closed(conn);
-			return;
+			return READ_ENDED;
 		case NET_FAILED:
 			fail(conn, ERROR_IO, "connection reset");
-			return;
+			return READ_ENDED;
 		case NET_OK:
 			break;
 		}
-		if (!parse(conn, data, size) || size < sizeof(data))
-			return;
+		if (!parse(conn, data, size))
+			return READ_ENDED;
+		if (size < sizeof(data) && !buffer_size(&conn->transfer->out))
+			return READ_ALL;
 	}
+	return READ_MORE;
 }
 
 static void write_output(struct client_conn *conn)
@@ -383,10 +399,12 @@
 	case CLIENT_BUSY:
 		break;
 	}
+	/* Reading to the end first tells a regular end from a reset: a write
+	 * would fail in both cases. */
+	if ((ready & LOOP_READ) && read_input(conn) != READ_ALL)
+		return;
 	if (ready & LOOP_WRITE)
 		write_output(conn);
-	if (ready & LOOP_READ)
-		read_input(conn);
 }
 
 static int64_t repeated_until_us(const struct http_transfer *transfer)
