http: bounds for every byte of an answer, not only for the one that counts

What callers saw: informational answers without end were read until the request's deadline, and whole answers with another ID as long; the node spent its processor time on them, and callers of sound services beside it made fewer calls.

Cause: the client bounded the fields and the body of the answer that counts. What it skipped was dropped without being counted; blank lines and chunk extensions only met the parser's own limit of 1 MiB; nothing bounded the time of a head.

The meter now counts all bytes that are read for a request. Those besides the body of the answer may be 160 KiB and 8 for each byte of body, so that chunks of one byte pass; whether an answer is skipped is known at the end of its head, and its body is not stored and counts among them. A head has 5 s from its first byte to its last one, none of it while only whole informational answers came. What exceeds a limit is closed at once, is a failure of the upstream (may-have-run), is counted in http.answers_over_limit and named with its figure in the text of "served", which explain prints. Health checks use the same client; one that fails is logged.

An answer to another request of more than 160 KiB now ends the request that waits behind it; before, up to 1 MiB was skipped.

--- a/src/call/upstream_probe.c
+++ b/src/call/upstream_probe.c
@@ -71,6 +71,9 @@
 	struct announce_message message = { .sequence = 0 };
 
 	upstream_probe->transfer = NULL;
+	if (answer->delivery != HTTP_ANSWERED)
+		log_warn(component, "recall_failed",
+			 LOG_TEXT("text", answer->err->text));
 	if (announce_current(options->announce) ||
 	    !upstream_probe_parse(options->names, answer, &message.upstream))
 		return;
--- a/src/http/answer_meter.c
+++ b/src/http/answer_meter.c
@@ -73,6 +73,25 @@
 		     meter->body_max);
 }
 
+void answer_meter_add_read(struct answer_meter *meter, size_t size)
+{
+	meter->read_bytes += size;
+}
+
+bool answer_meter_check_read(struct answer_meter *meter)
+{
+	return check(meter, ANSWER_LIMIT_OTHER_BYTES,
+		     meter->read_bytes - meter->body_bytes,
+		     ANSWER_OTHER_MAX_BYTES +
+			     ANSWER_OTHER_PER_BODY_BYTE * meter->body_bytes);
+}
+
+void answer_meter_head_expired(struct answer_meter *meter, int64_t maximum_ms)
+{
+	meter->passed = ANSWER_LIMIT_HEAD_MS;
+	meter->maximum = (uint64_t)maximum_ms;
+}
+
 const char *answer_limit_name(enum answer_limit limit)
 {
 	switch (limit) {
@@ -84,6 +103,10 @@
 		return "bytes of fields";
 	case ANSWER_LIMIT_BODY_BYTES:
 		return "bytes of body";
+	case ANSWER_LIMIT_OTHER_BYTES:
+		return "bytes besides the body";
+	case ANSWER_LIMIT_HEAD_MS:
+		return "ms for the head";
 	}
 	return "none";
 }
--- a/src/http/answer_meter.h
+++ b/src/http/answer_meter.h
@@ -19,6 +19,17 @@
 	ANSWER_LIMIT_FIELDS,	  /* fields of the head or the trailers */
 	ANSWER_LIMIT_FIELD_BYTES, /* bytes of the head or the trailers */
 	ANSWER_LIMIT_BODY_BYTES,
+	/* Bytes that belong neither to the body nor, after the head, to it:
+	 * skipped answers, blank lines, chunk sizes and extensions. */
+	ANSWER_LIMIT_OTHER_BYTES,
+	ANSWER_LIMIT_HEAD_MS,
+};
+
+enum {
+	ANSWER_OTHER_MAX_BYTES = 160 * 1024,
+	/* Permits chunks of one byte. */
+	ANSWER_OTHER_PER_BODY_BYTE = 8,
+	ANSWER_HEAD_MAX_MS = 5000,
 };
 
 /**
@@ -28,6 +39,8 @@
  * @field_bytes: their size, see HTTP_FIELDS_MAX_BYTES
  * @in_value: whether the last piece of a field belonged to its value
  * @body_bytes: size of the body so far
+ * @read_bytes: all bytes read for the request, answers that are skipped
+ *	included
  * @passed: first bound that was passed
  * @maximum: value of that bound
  */
@@ -37,6 +50,7 @@
 	uint64_t field_bytes;
 	bool in_value;
 	uint64_t body_bytes;
+	uint64_t read_bytes;
 	enum answer_limit passed;
 	uint64_t maximum;
 };
@@ -70,6 +84,23 @@
  */
 bool answer_meter_add_body(struct answer_meter *meter, size_t size);
 
+/** answer_meter_add_read() - adds bytes that were read, before they are parsed.
+ */
+void answer_meter_add_read(struct answer_meter *meter, size_t size);
+
+/**
+ * answer_meter_check_read() - checks the bytes read so far, once parsed
+ *
+ * Return: false if a bound is passed.
+ */
+bool answer_meter_check_read(struct answer_meter *meter);
+
+/**
+ * answer_meter_head_expired() - records that the head took too long
+ * @maximum_ms: the time that was allowed, in milliseconds
+ */
+void answer_meter_head_expired(struct answer_meter *meter, int64_t maximum_ms);
+
 /** answer_limit_name() - returns the stable name of a bound, for logs. */
 const char *answer_limit_name(enum answer_limit limit);
 
--- a/src/http/answer_meter_test.c
+++ b/src/http/answer_meter_test.c
@@ -13,6 +13,7 @@
 	PIECE_HEAD_END,
 	PIECE_BODY,
 	PIECE_NEXT_ANSWER,
+	PIECE_READ, /* bytes of any kind */
 };
 
 /* A number of equal pieces. */
@@ -38,6 +39,9 @@
 	case PIECE_NEXT_ANSWER:
 		answer_meter_begin(meter);
 		return true;
+	case PIECE_READ:
+		answer_meter_add_read(meter, step->size_bytes);
+		return answer_meter_check_read(meter);
 	}
 	return false;
 }
@@ -90,6 +94,22 @@
 		    { PIECE_NEXT_ANSWER, 1, 0 },
 		    { PIECE_BODY, 10, 100 } },
 		  ANSWER_LIMIT_NONE },
+		{ "other bytes at the limit",
+		  { { PIECE_READ, ANSWER_OTHER_MAX_BYTES / 1024, 1024 } },
+		  ANSWER_LIMIT_NONE },
+		{ "more of other bytes",
+		  { { PIECE_READ, ANSWER_OTHER_MAX_BYTES / 1024 + 1, 1024 } },
+		  ANSWER_LIMIT_OTHER_BYTES },
+		{ "other bytes of earlier answers",
+		  { { PIECE_READ, 1, ANSWER_OTHER_MAX_BYTES },
+		    { PIECE_NEXT_ANSWER, 1, 0 },
+		    { PIECE_READ, 1, 1 } },
+		  ANSWER_LIMIT_OTHER_BYTES },
+		{ "small chunks",
+		  { { PIECE_READ, 1, ANSWER_OTHER_MAX_BYTES },
+		    { PIECE_BODY, 1, 1000 },
+		    { PIECE_READ, 1000, ANSWER_OTHER_PER_BODY_BYTE + 1 } },
+		  ANSWER_LIMIT_NONE },
 	};
 	size_t i;
 
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -78,32 +78,49 @@
 	transfer_free(transfer);
 }
 
-static void set_timer(struct http_transfer *transfer)
+static bool is_connecting(const struct http_transfer *transfer)
 {
-	bool connecting = transfer->conn &&
-			  transfer->conn->state == CLIENT_CONNECTING;
-	int64_t at_us = transfer->exchange_deadline_us;
+	return !transfer->conn || transfer->conn->state == CLIENT_CONNECTING;
+}
+
+/* Returns the earlier of two times; 0 stands for none. */
+static int64_t earlier_us(int64_t a_us, int64_t b_us)
+{
+	if (!a_us || !b_us)
+		return a_us ? a_us : b_us;
+	return a_us < b_us ? a_us : b_us;
+}
+
+void transfer_set_timer(struct http_transfer *transfer)
+{
+	int64_t at_us = is_connecting(transfer) ? transfer->connect_deadline_us
+						: transfer->head_deadline_us;
 
-	if (connecting && transfer->connect_deadline_us &&
-	    (!at_us || transfer->connect_deadline_us < at_us))
-		at_us = transfer->connect_deadline_us;
+	at_us = earlier_us(at_us, transfer->exchange_deadline_us);
 	if (at_us)
 		timer_set(transfer->client->loop, &transfer->timer, at_us);
 }
 
+static bool has_passed(int64_t deadline_us, int64_t now_us)
+{
+	return deadline_us && now_us >= deadline_us;
+}
+
 static void timer_expired(struct timer *timer, void *data)
 {
 	struct http_transfer *transfer = data;
-	bool connecting = !transfer->conn ||
-			  transfer->conn->state == CLIENT_CONNECTING;
+	bool connecting = is_connecting(transfer);
 	int64_t now_us = loop_now_us(transfer->client->loop);
 
-	if (!connecting && now_us < transfer->exchange_deadline_us) {
-		set_timer(transfer);
+	if (!connecting && has_passed(transfer->head_deadline_us, now_us)) {
+		client_conn_head_expired(transfer->conn);
 		return;
 	}
-	if (!connecting && !transfer->exchange_deadline_us)
+	if (!connecting &&
+	    !has_passed(transfer->exchange_deadline_us, now_us)) {
+		transfer_set_timer(transfer);
 		return;
+	}
 	if (transfer->conn)
 		client_conn_free(transfer->conn);
 	transfer_end(transfer, ERROR_TIMEOUT,
@@ -135,7 +152,7 @@
 			     err.text[0] ? err.text : "cannot connect");
 		return;
 	}
-	set_timer(transfer);
+	transfer_set_timer(transfer);
 }
 
 static void put_field(struct buffer *out, const char *name, const char *value)
@@ -288,6 +305,8 @@
 {
 	memset(client, 0, sizeof(*client));
 	client->loop = loop;
+	http_parser_set_max_header_size(HTTP_PARSER_MAX_BYTES);
+	client->head_max_ms = ANSWER_HEAD_MAX_MS;
 	timer_init(&client->idle_timer, client_idle_expired, client);
 	return true;
 }
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -113,6 +113,8 @@
  * @transfers: list of the requests in progress
  * @idle: list of idle connections, the most recently used first
  * @idle_timer: periodic check for connections that were idle for too long
+ * @head_max_ms: maximum time from the first byte of a head to its last one, in
+ *	milliseconds
  * @opened_connections: number of connections used so far
  */
 struct http_client {
@@ -121,6 +123,7 @@
 	uint32_t transfer_count;
 	struct client_conn *idle;
 	struct timer idle_timer;
+	int64_t head_max_ms;
 	uint64_t opened_connections;
 };
 
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -31,8 +31,10 @@
 
 COUNTER(stray_count, "http.stray_answers",
 	"Answers skipped because they belonged to an earlier request");
+COUNTER(read_bytes, "http.answer_bytes",
+	"Bytes read from servers to which requests were sent");
 COUNTER(over_limit_count, "http.answers_over_limit",
-	"Answers refused because they exceed a limit of their size");
+	"Answers refused because they exceed a limit");
 COUNTER(repeated_count, "http.connections_passed_over",
 	"Kept connections not used because they carried the request before");
 COUNTER(reused_count, "http.connections_reused",
@@ -80,6 +82,7 @@
 
 	answer_meter_begin(&transfer->meter);
 	transfer->in_head = true;
+	transfer->skipping = false;
 	http_head_reset(&transfer->head);
 	buffer_consume(&transfer->body, buffer_size(&transfer->body));
 	return 0;
@@ -119,14 +122,33 @@
 	       parser->status_code == STATUS_NOT_MODIFIED;
 }
 
+/* Returns whether an answer is informational or belongs to an earlier request,
+ * and must be skipped. */
+static bool is_to_skip(struct http_transfer *transfer)
+{
+	const char *echoed;
+
+	if (transfer->status < STATUS_OK)
+		return true;
+	if (!transfer->echo_header)
+		return false;
+	echoed = http_head_find(&transfer->head, transfer->echo_header);
+	if (!echoed || !strcmp(echoed, transfer->echo_value))
+		return false;
+	counter_add(&stray_count, 1);
+	return true;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
 	answer_meter_head_end(&transfer->meter);
 	transfer->in_head = false;
+	transfer->head_deadline_us = 0;
 	http_head_end(&transfer->head);
 	transfer->status = parser->status_code;
+	transfer->skipping = is_to_skip(transfer);
 	transfer->delimited = is_delimited(transfer, parser);
 	parser->upgrade = 0;
 	/* The client never requests a protocol upgrade. */
@@ -139,6 +161,8 @@
 {
 	struct http_transfer *transfer = transfer_of(parser);
 
+	if (transfer->skipping)
+		return 0;
 	if (!answer_meter_add_body(&transfer->meter, size))
 		return -1;
 	buffer_append(&transfer->body, at, size);
@@ -164,23 +188,6 @@
 	.on_message_complete = on_message,
 };
 
-/* Returns whether a complete answer must be skipped because the answer is
- * informational or belongs to an earlier request. */
-static bool is_skipped(struct http_transfer *transfer)
-{
-	const char *echoed;
-
-	if (transfer->status < STATUS_OK)
-		return true;
-	if (!transfer->echo_header)
-		return false;
-	echoed = http_head_find(&transfer->head, transfer->echo_header);
-	if (!echoed || !strcmp(echoed, transfer->echo_value))
-		return false;
-	counter_add(&stray_count, 1);
-	return true;
-}
-
 /* Returns the maximum idle time according to the Keep-Alive field. */
 static int64_t parse_keep_alive_us(const struct http_transfer *transfer)
 {
@@ -246,11 +253,38 @@
 	fail(conn, ERROR_LIMIT, text);
 }
 
+void client_conn_head_expired(struct client_conn *conn)
+{
+	answer_meter_head_expired(&conn->transfer->meter,
+				  conn->client->head_max_ms);
+	fail_over_limit(conn);
+}
+
+/* Checks an answer of which a part has been parsed.
+ * Return: false if the connection has ended. */
+static bool check_part(struct client_conn *conn)
+{
+	struct http_transfer *transfer = conn->transfer;
+
+	if (!answer_meter_check_read(&transfer->meter)) {
+		fail_over_limit(conn);
+		return false;
+	}
+	if (transfer->in_head && !transfer->head_deadline_us) {
+		transfer->head_deadline_us =
+			now(conn) + conn->client->head_max_ms * US_PER_MS;
+		transfer_set_timer(transfer);
+	}
+	return true;
+}
+
 /* Return: false if the connection or its transfer has ended. */
 static bool parse(struct client_conn *conn, const char *data, size_t size)
 {
 	struct http_transfer *transfer = conn->transfer;
 
+	counter_add(&read_bytes, (int64_t)size);
+	answer_meter_add_read(&transfer->meter, size);
 	for (;;) {
 		size_t used = http_parser_execute(&conn->parser, &settings,
 						  data, size);
@@ -266,8 +300,8 @@
 			return false;
 		}
 		if (!transfer->complete)
-			return true;
-		if (!is_skipped(transfer)) {
+			return check_part(conn);
+		if (!transfer->skipping) {
 			finish_answer(conn, size - used);
 			return false;
 		}
@@ -276,7 +310,7 @@
 		data += used;
 		size -= used;
 		if (!size)
-			return true;
+			return check_part(conn);
 	}
 }
 
@@ -290,7 +324,7 @@
 	struct http_transfer *transfer = conn->transfer;
 
 	http_parser_execute(&conn->parser, &settings, NULL, 0);
-	if (transfer->complete && !is_skipped(transfer) &&
+	if (transfer->complete && !transfer->skipping &&
 	    !transfer->write_failed) {
 		transfer->keep_alive = false;
 		finish_answer(conn, 0);
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -61,6 +61,9 @@
  * @echo_value: value of @echo_header in the request
  * @meter: bounds of the answer
  * @in_head: whether the head of an answer is being parsed
+ * @skipping: whether the present answer is skipped
+ * @head_deadline_us: monotonic time limit for the rest of a head that came in
+ *	part, in microseconds; 0 for none
  * @complete: whether the answer is complete
  * @delimited: whether the answer states its length
  * @keep_alive: whether the server allows reuse of the connection
@@ -92,6 +95,8 @@
 	struct buffer body;
 	struct answer_meter meter;
 	bool in_head;
+	bool skipping;
+	int64_t head_deadline_us;
 	bool complete;
 	bool delimited;
 	bool keep_alive;
@@ -129,6 +134,12 @@
 /** client_idle_expired() - a timer_fn; closes expired idle connections. */
 void client_idle_expired(struct timer *timer, void *data);
 
+/** client_conn_head_expired() - ends a transfer whose head took too long. */
+void client_conn_head_expired(struct client_conn *conn);
+
+/** transfer_set_timer() - sets the timer to the next time limit. */
+void transfer_set_timer(struct http_transfer *transfer);
+
 /** transfer_end() - calls @done with the result and frees the transfer. */
 void transfer_end(struct http_transfer *transfer, enum error_code code,
 		  const char *text);
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -18,6 +18,9 @@
 	HTTP_FIELDS_MAX = 128,
 	/* Names and values with their terminating NULs. */
 	HTTP_FIELDS_MAX_BYTES = 64 * 1024,
+	/* Limit of the parser, which is the same for all its uses in a process;
+	 * those of servers and clients are smaller. */
+	HTTP_PARSER_MAX_BYTES = 1024 * 1024,
 };
 
 /** struct http_header - one header field. */
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -9,8 +9,6 @@
 	HEAD_MAX_BYTES = 32 * 1024,
 	HEAD_TIMEOUT_MS = 30 * 1000,
 	ACCEPT_ROUNDS = 64,
-	/* Limit of the parser; max_head_bytes of each server is smaller. */
-	PARSER_HEAD_MAX_BYTES = 1024 * 1024,
 };
 
 COUNTER(refused_conns, "http.connections_refused",
@@ -58,7 +56,7 @@
 	server->options = *options;
 	server->address = options->address;
 	fill_defaults(&server->options);
-	http_parser_set_max_header_size(PARSER_HEAD_MAX_BYTES);
+	http_parser_set_max_header_size(HTTP_PARSER_MAX_BYTES);
 	server->fd = net_listen(&server->address, err);
 	if (server->fd == NET_NONE)
 		return false;
