--- a/src/call/call_defs.h
+++ b/src/call/call_defs.h
@@ -24,9 +24,10 @@
 	CALL_DEADLINE_MAX_MS = 10 * 60 * 1000,
 	CALL_WEIGHT_MAX = KIND_WEIGHT_MAX,
 	CALL_PART_BYTES = 64 * 1024,
-	/* Frames carry whatever the HTTP client and server accept. */
-	CALL_HEADERS_MAX = HTTP_FIELDS_MAX,
-	CALL_HEADERS_MAX_BYTES = HTTP_FIELDS_MAX_BYTES,
+	/* Frames carry whatever the HTTP client and server accept, and what a
+	 * node adds. */
+	CALL_HEADERS_MAX = HTTP_FIELDS_MAX + 8,
+	CALL_HEADERS_MAX_BYTES = HTTP_FIELDS_MAX_BYTES + 1024,
 	CALL_TARGET_SIZE = 8 * 1024,
 	REQUEST_ID_SIZE = 64,
 	UPSTREAM_ID_SIZE = 64,
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -239,7 +239,7 @@
 {
 	const struct http_head *head = &exchange->head;
 
-	if (head->count > HTTP_FIELDS_MAX || has_invalid_name(head))
+	if (has_invalid_name(head))
 		return true;
 	if (http_head_find(head, "Transfer-Encoding") &&
 	    http_head_find(head, "Content-Length"))
@@ -277,6 +277,10 @@
 	conn->in_head = false;
 	/* Protocol upgrades are not supported. */
 	parser->upgrade = 0;
+	if (!http_head_fits(&exchange->head)) {
+		refuse(conn, STATUS_HEAD_TOO_LARGE, "head-too-large");
+		return -1;
+	}
 	if (is_ambiguous(exchange) || parser->method == HTTP_CONNECT ||
 	    parser->http_major != 1) {
 		counter_add(&malformed_count, 1);
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -61,6 +61,12 @@
 	end_value(head);
 }
 
+bool http_head_fits(const struct http_head *head)
+{
+	return head->count <= HTTP_FIELDS_MAX &&
+	       buffer_size(&head->fields) <= HTTP_FIELDS_MAX_BYTES;
+}
+
 size_t http_head_split(const struct http_head *head,
 		       struct http_header headers[HTTP_FIELDS_MAX])
 {
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -60,6 +60,9 @@
 /** http_head_end() - completes the last field. */
 void http_head_end(struct http_head *head);
 
+/** http_head_fits() - returns false if the fields exceed a limit. */
+bool http_head_fits(const struct http_head *head);
+
 /**
  * http_head_find() - returns the first value of a field
  *
