standin, test: odd answers as named kinds, with real nodes

standin upstream knows 22 kinds of odd answers, ten of them without end, on the command line and in requests for faults; its help lists them.

--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -218,6 +218,32 @@
 	return list[length] ? list + length + 1 : list + length;
 }
 
+static const char help[] =
+	"usage: standin upstream [--option value]...\n"
+	"\n"
+	"Accepts HTTP on the loopback interface and runs requests. Options:\n"
+	"  --service, --profile, --instance   what it announces of itself\n"
+	"  --announce ADDRESS,...   nodes that it sends heartbeats to\n"
+	"  --port, --count   first port; number of upstreams\n"
+	"  --slots, --queue   requests that run at once, and that wait\n"
+	"  --service-us, --spread   service time; \"exponential\" spreads it\n"
+	"  --starting-ms, --cold-ms, --cold-factor, --leave-ms, --down-ms,\n"
+	"  --report-lag-ms   times of its life\n"
+	"  --odd KIND, --odd-every N   an odd answer to each Nth request\n"
+	"\n"
+	"POST /standin/faults {\"odd\":\"KIND\",\"odd_every\":N} sets the same\n"
+	"while it runs; \"\" ends it. Kinds of odd answers:\n";
+
+static bool wants_help(int argc, char **argv)
+{
+	int i;
+
+	for (i = 1; i < argc; i++)
+		if (!strcmp(argv[i], "--help"))
+			return true;
+	return false;
+}
+
 static bool start(int argc, char **argv, struct error *err)
 {
 	const char *nodes = standin_option(argc, argv, "announce", "");
@@ -241,6 +267,14 @@
 		if (!upstream_init(&announcer->upstream, &loop, &options,
 				   port ? (uint16_t)(port + i) : 0, err))
 			return false;
+		if (!upstream_set_odd(&announcer->upstream,
+				      standin_option(argc, argv, "odd", ""),
+				      (int)number(argc, argv, "odd-every",
+						  "1"))) {
+			error_set(err, ERROR_INVALID,
+				  "--odd names no kind of odd answers");
+			return false;
+		}
 		timer_init(&announcer->renew, renew, announcer);
 		timer_set(&loop, &announcer->renew, loop_now_us(&loop));
 	}
@@ -275,6 +309,11 @@
 	struct error err = ERROR_INIT;
 	uint32_t i;
 
+	if (wants_help(argc, argv)) {
+		printf("%s", help);
+		odd_kind_list(stdout);
+		return 0;
+	}
 	apr_initialize();
 	signal(SIGTERM, on_signal);
 	signal(SIGINT, on_signal);
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "standin/odd_answer.h"
 
 /**
  * DOC: upstream
@@ -48,6 +49,9 @@
  * @rate_limit: text that answers name as limit; empty for none
  * @corrected: if not 0, no request crashes the upstream any more
  * @leaving: if not 0, answers say that the upstream leaves
+ * @odd: kind of odd answers; NULL for none
+ * @odd_every: each request of this number gets an odd answer, the others a
+ *	usual one
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
  */
@@ -63,6 +67,8 @@
 	char rate_limit[UPSTREAM_NOTICE_SIZE];
 	int corrected;
 	int leaving;
+	const struct odd_kind *odd;
+	int odd_every;
 	double load;
 };
 
@@ -159,6 +165,8 @@
  * @duplicate_runs: number of further runs of an id that ran before
  * @cancelled: number of requests that their caller aborted
  * @shed: number of requests refused with 503
+ * @odd_due: number of requests since the last odd answer
+ * @odd_count: number of odd answers
  * @keys_shown: number of requests that came with a key of their caller
  * @started_us: time of the start, monotonic clock
  * @leaving_us: time at which the upstream began to leave; 0 before
@@ -186,6 +194,8 @@
 	uint64_t duplicate_runs;
 	uint64_t cancelled;
 	uint64_t shed;
+	int odd_due;
+	uint64_t odd_count;
 	uint64_t keys_shown;
 	int64_t started_us;
 	int64_t leaving_us;
@@ -198,6 +208,14 @@
 	int64_t reported_load_us;
 };
 
+/**
+ * upstream_set_odd() - sets the kind of odd answers
+ * @name: name of the kind; "" for none
+ *
+ * Return: false if there is no such kind.
+ */
+bool upstream_set_odd(struct upstream *upstream, const char *name, int every);
+
 bool upstream_init(struct upstream *upstream, struct loop *loop,
 		   const struct upstream_options *options, uint16_t port,
 		   struct error *err);
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -14,6 +14,7 @@
 	CONNECTIONS_MAX = 2048,
 	IDLE_MS = 60000,
 	STATUS_OK = 200,
+	STATUS_BAD_REQUEST = 400,
 	STATUS_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
 	CUT_BYTES = 64,
@@ -310,6 +311,20 @@
 	return false;
 }
 
+/* Return: true if the request got an odd answer. */
+static bool answer_oddly(struct upstream *upstream,
+			 struct http_exchange *exchange, const char *id)
+{
+	const struct upstream_faults *faults = &upstream->faults;
+
+	if (!faults->odd || ++upstream->odd_due < faults->odd_every)
+		return false;
+	upstream->odd_due = 0;
+	upstream->odd_count++;
+	odd_answer_send(exchange, upstream->loop, faults->odd, id);
+	return true;
+}
+
 static void add_job(struct upstream *upstream, struct http_exchange *exchange)
 {
 	const char *id = http_exchange_header(exchange, "X-Request-Id");
@@ -319,7 +334,8 @@
 	count_arrival(upstream, clock_monotonic_us());
 	upstream->keys_shown +=
 		http_exchange_header(exchange, "Authorization") != NULL;
-	if (refuse(upstream, exchange))
+	if (refuse(upstream, exchange) ||
+	    answer_oddly(upstream, exchange, id ? id : ""))
 		return;
 	job = calloc(1, sizeof(*job));
 	job->upstream = upstream;
@@ -361,6 +377,8 @@
 		(json_int_t)upstream->waiting_count, "new_work_after_ms",
 		(json_int_t)(after_us / US_PER_MS));
 
+	json_object_set_new(stats, "odd",
+			    json_integer((json_int_t)upstream->odd_count));
 	json_object_set_new(stats, "request_crashes",
 			    json_integer(upstream->request_crash_count));
 	json_object_set_new(stats, "limit_peak",
@@ -444,6 +462,31 @@
 	upstream->arrivals.count = 0;
 }
 
+bool upstream_set_odd(struct upstream *upstream, const char *name, int every)
+{
+	const struct odd_kind *kind = odd_kind_find(name);
+
+	if (*name && !kind)
+		return false;
+	upstream->faults.odd = kind;
+	upstream->faults.odd_every = every;
+	upstream->odd_due = 0;
+	return true;
+}
+
+/* Return: false if the kind of odd answers is unknown. */
+static bool read_odd(struct upstream *upstream, const json_t *body)
+{
+	const char *name = json_string_value(json_object_get(body, "odd"));
+	const json_t *every = json_object_get(body, "odd_every");
+
+	if (!name)
+		return true;
+	return upstream_set_odd(
+		upstream, name,
+		json_is_integer(every) ? (int)json_integer_value(every) : 1);
+}
+
 static void set_faults(struct upstream *upstream,
 		       struct http_exchange *exchange)
 {
@@ -453,6 +496,13 @@
 
 	read_faults(upstream, body);
 	read_rate_limit(upstream, body);
+	if (!read_odd(upstream, body)) {
+		json_decref(body);
+		http_exchange_reply(exchange, STATUS_BAD_REQUEST, NULL, 0,
+				    "no such kind of odd answer\n",
+				    strlen("no such kind of odd answer\n"));
+		return;
+	}
 	if (json_is_true(json_object_get(body, "crash"))) {
 		json_decref(body);
 		crash(upstream);
