http: a field with a control byte or a blank in its name is malformed

With a NUL before other bytes the fields behind it came as other fields, in an answer with 200.

Cause: the parser checks the bytes of a value but for the first one, and the fields are kept as texts that end with NUL. It also accepts blanks in names: a "Content-Length : 9" is no length to it, and may be one to the caller.

Each part of a name or value is checked as it is stored; an answer with a malformed field is a failure of the upstream (502), a request with one gets 400. The check of requests in the call slice uses the same functions.

A sound upstream sends none of these bytes.

--- a/src/call/odd_answer_test.c
+++ b/src/call/odd_answer_test.c
@@ -61,6 +61,7 @@
 	append_fields("X-Trailer", shape->trailers, 4);
 	strcat(script, "\r\n");
 	path.upstream.script = script;
+	path.upstream.script_size = strlen(script);
 }
 
 static struct path_result *send_seal(const char *id)
@@ -121,3 +122,47 @@
 		play(&shapes[i], false);
 	}
 }
+
+/* Guards against a field that the frame decoder refuses or that reaches the
+ * caller as another one: the process beside the upstream ended, or the caller
+ * got a length that the body does not have. */
+Test(odd_answer, a_malformed_field_is_no_answer, .timeout = 60)
+{
+	static const struct {
+		const char *name;
+		const char *field;
+		size_t size;
+	} cases[] = {
+		{ "NUL", "X-Field: \0v\r\n", 13 },
+		{ "NUL alone", "X-Field: \0\r\n", 12 },
+		{ "control byte", "X-Field: \x01\r\n", 12 },
+		{ "blank in front of the colon", "Content-Length : 9\r\n", 20 },
+	};
+	size_t i;
+
+	for (i = 0; i < 2 * COUNT(cases); i++) {
+		size_t row = i / 2;
+		struct path_result *result;
+		size_t used;
+
+		path_setup();
+		if (i % 2)
+			path_route_to_own();
+		used = (size_t)snprintf(script, SCRIPT_SIZE,
+					"HTTP/1.1 200 OK\r\n");
+		memcpy(script + used, cases[row].field, cases[row].size);
+		used += cases[row].size;
+		used += (size_t)snprintf(script + used, SCRIPT_SIZE - used,
+					 "Content-Length: 2\r\n\r\nok");
+		path.upstream.script = script;
+		path.upstream.script_size = used;
+		path.upstream.first = BEHAVE_SCRIPT;
+		result = send_seal("odd");
+		path_wait(&result->answers, 1, cases[row].name);
+		cr_expect_eq(result->status, 502, "%s: %u", cases[row].name,
+			     result->status);
+		cr_expect_str_eq(result->verdict, "may-have-run", "%s",
+				 cases[row].name);
+		path_teardown();
+	}
+}
--- a/src/call/parsed_request.c
+++ b/src/call/parsed_request.c
@@ -21,34 +21,6 @@
 	return false;
 }
 
-/* Returns true for a token as defined by HTTP, the syntax of field names. */
-static bool is_token(const char *text)
-{
-	static const char punctuation[] = "!#$%&'*+-.^_`|~";
-
-	if (!*text)
-		return false;
-	for (; *text; text++) {
-		bool alnum = (*text >= '0' && *text <= '9') ||
-			     (*text >= 'a' && *text <= 'z') ||
-			     (*text >= 'A' && *text <= 'Z');
-
-		if (!alnum && !strchr(punctuation, *text))
-			return false;
-	}
-	return true;
-}
-
-/* Bytes above ASCII are passed on unchanged. Control characters are invalid:
- * they could start another field or request at the upstream. */
-static bool is_value(const char *text)
-{
-	for (; *text; text++)
-		if (((uint8_t)*text < ' ' && *text != '\t') || *text == 0x7f)
-			return false;
-	return true;
-}
-
 /* Returns true if a list such as "close, X-Trace" contains the field name. */
 static bool list_contains(const char *list, const char *name)
 {
@@ -92,7 +64,8 @@
 {
 	struct parsed_request *parsed = data;
 
-	if (!is_token(name) || !is_value(value)) {
+	if (!*name || !http_is_token_part(name, strlen(name)) ||
+	    !http_is_value_part(value, strlen(value))) {
 		parsed->headers_invalid = true;
 		return;
 	}
--- a/src/call/path_test.h
+++ b/src/call/path_test.h
@@ -70,6 +70,7 @@
 	size_t body_bytes;
 	char seen[4096]; /* head of the last request */
 	const char *script;
+	size_t script_size;
 };
 
 struct relay_conn {
--- a/src/call/path_upstream_test.c
+++ b/src/call/path_upstream_test.c
@@ -132,7 +132,7 @@
 			conn, "HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
 		break;
 	case BEHAVE_SCRIPT:
-		fake_write_text(conn, upstream->script);
+		fake_write(conn, upstream->script, upstream->script_size);
 		break;
 	}
 }
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -147,6 +147,8 @@
 	transfer->in_head = false;
 	transfer->head_deadline_us = 0;
 	http_head_end(&transfer->head);
+	if (transfer->head.invalid)
+		return -1;
 	transfer->status = parser->status_code;
 	transfer->skipping = is_to_skip(transfer);
 	transfer->delimited = is_delimited(transfer, parser);
@@ -294,6 +296,11 @@
 			fail_over_limit(conn);
 			return false;
 		}
+		if (transfer->head.invalid) {
+			fail(conn, ERROR_PROTOCOL,
+			     "answer has a malformed header field");
+			return false;
+		}
 		if (code != HPE_OK && code != HPE_PAUSED) {
 			fail(conn, ERROR_PROTOCOL,
 			     http_errno_description(code));
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -221,25 +221,14 @@
 	return false;
 }
 
-/* The parser accepts blanks before the colon. An upstream could read such a
- * field as a different field than this process does. */
-static bool has_invalid_name(const struct http_head *head)
-{
-	struct http_header headers[HTTP_FIELDS_MAX];
-	size_t count = http_head_split(head, headers);
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		if (!headers[i].name[0] || strpbrk(headers[i].name, " \t"))
-			return true;
-	return false;
-}
-
 static bool is_ambiguous(const struct http_exchange *exchange)
 {
 	const struct http_head *head = &exchange->head;
 
-	if (has_invalid_name(head))
+	/* The parser accepts blanks before the colon, and any first byte of a
+	 * value. An upstream could read such a field as a different field than
+	 * this process does. */
+	if (head->invalid)
 		return true;
 	if (http_head_find(head, "Transfer-Encoding") &&
 	    http_head_find(head, "Content-Length"))
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -10,6 +10,33 @@
 	head->value_offset = 0;
 	head->in_value = false;
 	head->in_field = false;
+	head->invalid = false;
+}
+
+bool http_is_token_part(const char *at, size_t size)
+{
+	static const char punctuation[] = "!#$%&'*+-.^_`|~";
+	size_t i;
+
+	for (i = 0; i < size; i++) {
+		bool alnum = (at[i] >= '0' && at[i] <= '9') ||
+			     (at[i] >= 'a' && at[i] <= 'z') ||
+			     (at[i] >= 'A' && at[i] <= 'Z');
+
+		if (!alnum && (!at[i] || !strchr(punctuation, at[i])))
+			return false;
+	}
+	return true;
+}
+
+bool http_is_value_part(const char *at, size_t size)
+{
+	size_t i;
+
+	for (i = 0; i < size; i++)
+		if (((uint8_t)at[i] < ' ' && at[i] != '\t') || at[i] == 0x7f)
+			return false;
+	return true;
 }
 
 void http_head_finish(struct http_head *head)
@@ -39,6 +66,7 @@
 	if (head->in_value)
 		end_value(head);
 	head->in_field = true;
+	head->invalid |= !http_is_token_part(at, size);
 	buffer_append(&head->fields, at, size);
 }
 
@@ -49,6 +77,7 @@
 		head->value_offset = buffer_size(&head->fields);
 		head->in_value = true;
 	}
+	head->invalid |= !http_is_value_part(at, size);
 	buffer_append(&head->fields, at, size);
 }
 
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -36,6 +36,8 @@
  * @value_offset: offset of the value of the last field in @fields
  * @in_value: whether the last piece belonged to a value
  * @in_field: whether the last field is incomplete
+ * @invalid: whether a name is not a token or a value has control characters;
+ *	the fields must not be read then
  */
 struct http_head {
 	struct buffer fields;
@@ -43,6 +45,7 @@
 	size_t value_offset;
 	bool in_value;
 	bool in_field;
+	bool invalid;
 };
 
 /** http_head_reset() - removes all fields, keeps the memory. */
@@ -60,6 +63,17 @@
 /** http_head_end() - completes the last field. */
 void http_head_end(struct http_head *head);
 
+/** http_is_token_part() - returns true for bytes that may form a field name. */
+bool http_is_token_part(const char *at, size_t size);
+
+/**
+ * http_is_value_part() - returns true for bytes that may be in a field value
+ *
+ * Bytes above ASCII may. Control characters other than the tab may not: they
+ * could end a field here or begin another one elsewhere.
+ */
+bool http_is_value_part(const char *at, size_t size);
+
 /** http_head_fits() - returns false if the fields exceed a limit. */
 bool http_head_fits(const struct http_head *head);
 
