--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -3,7 +3,7 @@
 # target.
 option(FUZZ "Build clang's fuzzers" OFF)
 
-set(FUZZ_SOURCES test/fuzz/targets.c test/fuzz/mutate.c)
+set(FUZZ_SOURCES test/fuzz/targets.c test/fuzz/answer.c test/fuzz/mutate.c)
 if(TARGET functional_tests)
 	target_sources(functional_tests PRIVATE ${FUZZ_SOURCES}
 		test/fuzz/replay_test.c)
@@ -11,7 +11,7 @@
 
 if(FUZZ)
 	foreach(NAME frame hub head settings profile path announce
-			caller heartbeat document directory packed log key)
+			caller heartbeat document directory packed log key answer)
 		string(TOUPPER ${NAME} UPPER)
 		add_executable(fuzz_${NAME} test/fuzz/fuzzer.c ${FUZZ_SOURCES})
 		target_include_directories(fuzz_${NAME} PRIVATE test)
--- a/test/fuzz/replay_test.c
+++ b/test/fuzz/replay_test.c
@@ -147,6 +147,13 @@
 	replay(FUZZ_KEY, 20000);
 }
 
+/* Guards against an answer that is accepted and then lost, changed or fatal on
+ * its way to the caller. */
+Test(fuzz, bytes_of_an_answer, .timeout = 120)
+{
+	replay(FUZZ_ANSWER, 1000);
+}
+
 Test(fuzz, bytes_on_a_connection_of_a_caller, .timeout = 60)
 {
 	replay(FUZZ_CALLER, 1000);
--- a/test/fuzz/targets.c
+++ b/test/fuzz/targets.c
@@ -9,6 +9,7 @@
 #include "call/frames.h"
 #include "call/parsed_request.h"
 #include "call/tenant_check.h"
+#include "fuzz/answer.h"
 #include "http/server.h"
 #include "membership/directory.h"
 #include "membership/packet.h"
@@ -63,6 +64,8 @@
 		return "log";
 	case FUZZ_KEY:
 		return "key";
+	case FUZZ_ANSWER:
+		return "answer";
 	case FUZZ_TARGETS:
 		break;
 	}
@@ -703,6 +706,9 @@
 	case FUZZ_KEY:
 		run_key(data, size);
 		return;
+	case FUZZ_ANSWER:
+		fuzz_answer(data, size);
+		return;
 	case FUZZ_TARGETS:
 		return;
 	}
--- a/test/fuzz/targets.h
+++ b/test/fuzz/targets.h
@@ -29,6 +29,7 @@
 	FUZZ_PACKED,	/* a message that a peer compressed */
 	FUZZ_LOG,	/* a line of a log */
 	FUZZ_KEY,	/* a header field with the key of a tenant */
+	FUZZ_ANSWER,	/* bytes that a server sends as an answer */
 	FUZZ_TARGETS,
 };
 
