keeper: a version that is held in part is completed by whoever offers it

What callers saw: 404 on an acknowledged route for 3 to 6 s, after the node that read the version lost power while it handed the version on.

Cause: the other nodes hold the head and not all bodies, so the version is pending. The next reader has it whole from the store, and keeper_offer_head() ignored the head because it is not newer than the pending one; the bodies were never offered. Evidence: the new test offers a part as a peer does and then returns the document; a newer document comes into force, the same one did not.

--- a/src/profile/keeper.c
+++ b/src/profile/keeper.c
@@ -430,6 +430,13 @@
 	       !memcmp(keeper->refused_chain, head->chain, CHAIN_HASH_BYTES);
 }
 
+static bool is_pending_version(const struct keeper *keeper,
+			       const struct head *head)
+{
+	return keeper->is_pending && keeper->pending.version == head->version &&
+	       !memcmp(keeper->pending.chain, head->chain, CHAIN_HASH_BYTES);
+}
+
 enum keeper_offer_result keeper_offer_head(struct keeper *keeper,
 					   const void *head, size_t size,
 					   struct error *err)
@@ -441,6 +448,12 @@
 		return KEEPER_REFUSED;
 	keeper->offered_version = offered.version;
 	check_history(keeper, &offered);
+	/* Whoever offers the version may hold the missing bodies; the node that
+	 * offered it first may be gone. */
+	if (is_pending_version(keeper, &offered)) {
+		head_finish(&offered);
+		return KEEPER_INCOMPLETE;
+	}
 	if (offered.version <= keeper->head.version ||
 	    (keeper->is_pending &&
 	     offered.version <= keeper->pending.version)) {
--- a/src/profile/keeper.h
+++ b/src/profile/keeper.h
@@ -96,8 +96,8 @@
 
 /** enum keeper_offer_result - result of an offer to the keeper. */
 enum keeper_offer_result {
-	KEEPER_IGNORED,	   /* the head is not newer, the body not missing */
-	KEEPER_INCOMPLETE, /* bodies are missing, see keeper_missing() */
+	KEEPER_IGNORED,	   /* the head is older, the body not missing */
+	KEEPER_INCOMPLETE, /* bodies of the pending version are missing */
 	KEEPER_IN_FORCE,   /* the version is complete and was applied */
 	KEEPER_REFUSED,	   /* invalid, see @err; the version in force stays */
 };
--- a/src/profile/reader_document_test.c
+++ b/src/profile/reader_document_test.c
@@ -118,6 +118,11 @@
 	loop_defer(&loop, data);
 }
 
+static void ignore_end(enum keeper_offer_result offer, const struct error *err,
+		       void *data)
+{
+}
+
 /* Runs the loop, which always has something else to do, until the document has
  * been taken over. Returns the number of other calls until then. */
 static uint32_t take_over(void)
@@ -227,3 +232,69 @@
 	free(old);
 	free(new);
 }
+
+/* Takes a document over in a keeper of its own and offers the head of its
+ * version, and @bodies of its bodies, to the keeper of this node. */
+static void offer_part(const char *text, uint32_t bodies)
+{
+	uint8_t missing[DOCUMENT_BODIES][CONTENT_HASH_BYTES];
+	struct keeper whole;
+	struct translation translation;
+	struct error err = ERROR_INIT;
+	const void *head;
+	size_t size;
+	uint32_t i;
+
+	keeper_init(&whole);
+	translation_init(&translation, &loop, &whole, ignore_end, NULL);
+	translation_start(&translation, text, strlen(text));
+	for (i = 0; i < TURNS && translation_is_active(&translation); i++)
+		loop_turn(&loop, 0);
+	head = keeper_head(&whole, &size);
+	cr_assert_not_null(head);
+	cr_assert_eq(keeper_offer_head(&keeper, head, size, &err),
+		     KEEPER_INCOMPLETE);
+	cr_assert_gt(keeper_missing(&keeper, missing, COUNT(missing)), bodies);
+	for (i = 0; i < bodies; i++) {
+		const void *body = keeper_body(&whole, missing[i], &size);
+
+		cr_assert_eq(keeper_offer_body(&keeper, body, size, &err),
+			     KEEPER_INCOMPLETE);
+	}
+	translation_finish(&translation);
+	keeper_finish(&whole);
+}
+
+/* Guards against a node that stays at an older version because the peer that
+ * handed the new one on is gone, although it has read the version itself. */
+Test(reader_document, a_version_held_in_part_is_completed_from_the_store)
+{
+	static const struct {
+		const char *name;
+		uint32_t bodies; /* that a peer has handed on */
+		uint64_t read;	 /* version read from the store */
+	} rows[] = {
+		{ "the head alone", 0, 7 },
+		{ "some bodies", 5, 7 },
+		{ "a newer version in the store", 5, 8 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(rows); i++) {
+		char *pending = make_document(7, ROUTES, "}");
+		char *read = make_document(rows[i].read, ROUTES, "}");
+
+		setup();
+		offer_part(pending, rows[i].bodies);
+		return_document(read);
+		take_over();
+		cr_expect_eq(version_in_force(), rows[i].read, "%s: %llu",
+			     rows[i].name,
+			     (unsigned long long)version_in_force());
+		cr_expect_eq(keeper_pending_version(&keeper), 0, "%s",
+			     rows[i].name);
+		teardown();
+		free(pending);
+		free(read);
+	}
+}
