test: the two times of a crash watch case lie apart

crash_watch/a_late_answer_says_nothing_about_the_next_incarnation failed once in a run of all unit tests beside other load, and then in 10 of 200 runs of its own: its time "before the change of the upstream" can be the same microsecond as the change, and what is sent in that microsecond counts as sent to the present incarnation.

--- a/src/call/crash_watch_test.c
+++ b/src/call/crash_watch_test.c
@@ -90,6 +90,10 @@
 		struct address address;
 		int64_t before_us = clock_monotonic_us();
 
+		/* What was sent in the same microsecond counts as sent to the
+		 * present incarnation. */
+		while (clock_monotonic_us() == before_us)
+			;
 		address_parse("127.0.0.1:80", &address, &err);
 		calls_set_upstream(&path.b.calls, "s", "i-1", i, &address);
 		calls_set_upstream(&path.b.calls, "s", "i-2", i, &address);
