--- a/src/call/odd_answer_test.c
+++ b/src/call/odd_answer_test.c
@@ -9,7 +9,7 @@
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
 
-enum { SCRIPT_SIZE = 128 * 1024 };
+enum { SCRIPT_SIZE = 128 * 1024, NODE_FIELDS_MAX = 8 };
 
 struct shape {
 	const char *name;
@@ -96,6 +96,9 @@
 		cr_expect_str_eq(odd->body, "ok", "%s", shape->name);
 		cr_expect_geq(odd->header_count, shape->fields, "%s",
 			      shape->name);
+		cr_expect_leq(odd->header_count,
+			      shape->fields + NODE_FIELDS_MAX, "%s",
+			      shape->name);
 	} else {
 		cr_expect_str_eq(odd->verdict, "may-have-run", "%s",
 				 shape->name);
@@ -166,3 +169,23 @@
 		path_teardown();
 	}
 }
+
+/* Guards against a refusal that is proved by a field behind the body: whatever
+ * made the answer had begun to run the request. */
+Test(odd_answer, a_trailer_proves_nothing, .timeout = 60)
+{
+	struct path_result *result;
+
+	path_setup();
+	path.upstream.script = "HTTP/1.1 503 Busy\r\n"
+			       "Transfer-Encoding: chunked\r\n\r\n0\r\n"
+			       "Geraniumplank-Shed: not-run\r\n"
+			       "X-Last: v\r\n\r\n";
+	path.upstream.script_size = strlen(path.upstream.script);
+	path.upstream.first = BEHAVE_SCRIPT;
+	result = send_seal("odd");
+	path_wait(&result->answers, 1, "answer");
+	cr_expect_str_neq(result->verdict, "not-run");
+	cr_expect_eq(path.upstream.requests, 1);
+	path_teardown();
+}
