--- a/src/call/odd_answer_test.c
+++ b/src/call/odd_answer_test.c
@@ -35,6 +35,13 @@
 
 static char script[SCRIPT_SIZE];
 
+static void append(const char *text)
+{
+	size_t used = strlen(script);
+
+	snprintf(script + used, SCRIPT_SIZE - used, "%s", text);
+}
+
 static void append_fields(const char *name, uint32_t count,
 			  uint32_t value_bytes)
 {
@@ -53,13 +60,13 @@
 
 static void write_script(const struct shape *shape)
 {
-	snprintf(script, SCRIPT_SIZE,
-		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
+	script[0] = '\0';
+	append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
 	append_fields("X-Field", shape->fields - 1, shape->value_bytes);
 	append_fields("X-Last", 1, shape->value_bytes);
-	strcat(script, "\r\n2\r\nok\r\n0\r\n");
+	append("\r\n2\r\nok\r\n0\r\n");
 	append_fields("X-Trailer", shape->trailers, 4);
-	strcat(script, "\r\n");
+	append("\r\n");
 	path.upstream.script = script;
 	path.upstream.script_size = strlen(script);
 }
--- a/src/http/endless_answer_test.c
+++ b/src/http/endless_answer_test.c
@@ -169,13 +169,12 @@
 static size_t fill(char piece[PIECE_BYTES], const char *again)
 {
 	size_t size = strlen(again);
-	size_t used = 0;
+	size_t count = PIECE_BYTES / size;
+	size_t i;
 
-	while (used + size <= PIECE_BYTES) {
-		memcpy(piece + used, again, size);
-		used += size;
-	}
-	return used;
+	for (i = 0; i < count * size; i++)
+		piece[i] = again[i % size];
+	return count * size;
 }
 
 static void send_all(int fd, const char *data, size_t size)
--- a/test/standin/odd_answer.c
+++ b/test/standin/odd_answer.c
@@ -230,12 +230,11 @@
 	const char *again = endless->kind->again;
 	size_t size = strlen(again);
 	char piece[PIECE_BYTES];
-	size_t used = 0;
+	size_t used = sizeof(piece) / size * size;
+	size_t i;
 
-	while (used + size <= sizeof(piece)) {
-		memcpy(piece + used, again, size);
-		used += size;
-	}
+	for (i = 0; i < used; i++)
+		piece[i] = again[i % size];
 	while (buffer_size(&exchange->conn->out) < QUEUE_BYTES)
 		send_bytes(exchange, endless->loop, piece, used);
 	timer_set(endless->loop, timer, clock_monotonic_us() + AGAIN_US);
--- a/test/standin/odd_answer.h
+++ b/test/standin/odd_answer.h
@@ -18,26 +18,26 @@
  * @name: name on the command line and in requests for faults
  * @text: description for the help text
  * @status: text of the status line; NULL for no head
- * @is_marked: adds the ID of the request and the mark of an upstream
  * @head: further lines of the head
- * @fields: number of further fields
- * @field_bytes: size of the value of each
  * @body: bytes after the head; NULL if the head does not end
- * @trailers: number of trailer fields after @body
  * @again: bytes sent repeatedly until the connection is closed; NULL if the
  *	answer ends
+ * @fields: number of further fields
+ * @field_bytes: size of the value of each
+ * @trailers: number of trailer fields after @body
+ * @is_marked: adds the ID of the request and the mark of an upstream
  */
 struct odd_kind {
 	const char *name;
 	const char *text;
 	const char *status;
-	bool is_marked;
 	const char *head;
+	const char *body;
+	const char *again;
 	uint32_t fields;
 	uint32_t field_bytes;
-	const char *body;
 	uint32_t trailers;
-	const char *again;
+	bool is_marked;
 };
 
 /** odd_kind_find() - returns the kind of this name, or NULL. */
