reader: a watch begun while the service was silent begins again

Cause: a watch that reaches the store while it is silent is never answered. The probes beside it use another connection, and once they are answered nothing shows the loss, for up to 20 s.

A watch that begins while the last answer is missing is unproven; the first answered probe ends it and it begins again, one more call for each silence.

Test: reader_rank/a_watch_begun_while_the_service_was_silent_begins_again, failed before.

--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -427,7 +427,11 @@
 
 	reader->probe_call = NULL;
 	reader_core_probe_ended(&reader->core, result, clock_monotonic_us());
-	if (reader->core.watch_lost)
+	if (reader->core.watch_lost && reader->core.answered)
+		log_info("reader", "watch_renewed",
+			 LOG_NUMBER("revision",
+				    (int64_t)reader->core.revision));
+	else if (reader->core.watch_lost)
 		log_warn("reader", "service_silent",
 			 LOG_TEXT("reason", result->err.text));
 	make_due_calls(reader);
--- a/src/profile/reader_core.c
+++ b/src/profile/reader_core.c
@@ -118,7 +118,9 @@
 static void stop_watch(struct reader_core *core, struct reader_command *command)
 {
 	core->watch_in_flight = false;
-	core->answered = false;
+	/* A node that reads again later does not know the service's state. */
+	if (!core->watch_lost)
+		core->answered = false;
 	core->watch_lost = false;
 	command->action = READER_STOP_WATCH;
 }
@@ -163,6 +165,7 @@
 	if (core->rank >= READER_WATCHERS && now_us >= core->active_until_us)
 		core->active_until_us = now_us + READER_ACTIVE_MS * US_PER_MS;
 	core->watch_in_flight = true;
+	core->watch_unproven = !core->answered;
 	core->next_probe_us = now_us + READER_PROBE_MS * US_PER_MS;
 	command->revision = core->revision;
 	command->action = READER_WATCH_HEAD;
@@ -292,6 +295,10 @@
 	core->probe_in_flight = false;
 	core->next_probe_us = now_us + READER_PROBE_MS * US_PER_MS;
 	if (is_answer(result)) {
+		/* A service that was silent when the watch began may never
+		 * answer it, though it answers probes again. */
+		core->watch_lost = core->watch_in_flight &&
+				   core->watch_unproven;
 		record_contact(core, now_us);
 		return;
 	}
--- a/src/profile/reader_core.h
+++ b/src/profile/reader_core.h
@@ -121,7 +121,9 @@
  * @active_until_us: READER_BY_RANK: the node is an active reader until then
  * @contact_us: time at which the service last answered this node, 0 for never
  * @answered: the last watch or probe was answered
- * @watch_lost: the service does not answer probes; the watch is to be cancelled
+ * @watch_unproven: the service did not answer when the watch began
+ * @watch_lost: the watch is to be cancelled, because the service does not
+ *answer probes, or has answered one after a watch that was unproven
  * @probe_in_flight: a probe is in flight
  * @next_probe_us: time at which the next probe is due
  * @lease: READER_BY_LEASE: lease of a reader slot
@@ -143,6 +145,7 @@
 	int64_t active_until_us;
 	int64_t contact_us;
 	bool answered;
+	bool watch_unproven;
 	bool watch_lost;
 	bool probe_in_flight;
 	int64_t next_probe_us;
--- a/src/profile/reader_rank_test.c
+++ b/src/profile/reader_rank_test.c
@@ -295,3 +295,70 @@
 			     "case %zu", i);
 	}
 }
+
+static void end_probe(enum store_reason reason, int64_t now_us)
+{
+	const struct store_result result = {
+		.outcome = reason == STORE_OK ? STORE_TOOK_EFFECT
+					      : STORE_NO_EFFECT,
+		.reason = reason,
+		.sent_us = now_us,
+	};
+
+	reader_core_probe_ended(&core, &result, now_us);
+}
+
+/* Guards against a data centre that hears of no version for the time of a whole
+ * watch: the service swallows a watch while it is silent, and answers the
+ * probes behind it. */
+Test(reader_rank, a_watch_begun_while_the_service_was_silent_begins_again)
+{
+	static const struct {
+		const char *name;
+		bool silent; /* when the watch begins */
+		enum reader_action action;
+	} cases[] = {
+		{ "silent service", true, READER_STOP_WATCH },
+		{ "answering service", false, READER_NOTHING },
+	};
+	size_t i;
+
+	for (i = 0; i < ARRAY_SIZE(cases); i++) {
+		int64_t now_us = 10 * 1000 * US_PER_MS;
+		int round;
+
+		init_core(0);
+		cr_expect_eq(next_at(now_us), READER_WATCH_HEAD, "%s",
+			     cases[i].name);
+		end_watch(STORE_OK, 7, now_us);
+		now_us += READER_PAUSE_MS * US_PER_MS;
+		if (cases[i].silent) {
+			cr_expect_eq(next_at(now_us), READER_WATCH_HEAD);
+			now_us += READER_PROBE_MS * US_PER_MS;
+			cr_expect_eq(next_at(now_us), READER_PROBE);
+			end_probe(STORE_TIMED_OUT, now_us);
+			cr_expect_eq(next_at(now_us), READER_STOP_WATCH);
+			now_us += READER_EAGER_BACKOFF_MS * US_PER_MS;
+		}
+		cr_expect_eq(next_at(now_us), READER_WATCH_HEAD, "%s",
+			     cases[i].name);
+		now_us += READER_PROBE_MS * US_PER_MS;
+		cr_expect_eq(next_at(now_us), READER_PROBE, "%s",
+			     cases[i].name);
+		end_probe(STORE_OK, now_us);
+		cr_expect_eq(next_at(now_us), cases[i].action, "%s",
+			     cases[i].name);
+		if (!cases[i].silent)
+			continue;
+		/* The new watch stays, however many probes are answered. */
+		cr_expect_eq(next_at(now_us), READER_WATCH_HEAD, "%s",
+			     cases[i].name);
+		for (round = 0; round < 3; round++) {
+			now_us += READER_PROBE_MS * US_PER_MS;
+			cr_expect_eq(next_at(now_us), READER_PROBE);
+			end_probe(STORE_OK, now_us);
+			cr_expect_eq(next_at(now_us), READER_NOTHING, "%s",
+				     cases[i].name);
+		}
+	}
+}
