--- a/src/http/answer_meter.h
+++ b/src/http/answer_meter.h
@@ -19,10 +19,10 @@
 	ANSWER_LIMIT_FIELDS,	  /* fields of the head or the trailers */
 	ANSWER_LIMIT_FIELD_BYTES, /* bytes of the head or the trailers */
 	ANSWER_LIMIT_BODY_BYTES,
-	/* Bytes that belong neither to the body nor, after the head, to it:
-	 * skipped answers, blank lines, chunk sizes and extensions. */
+	/* All bytes besides the body: heads, answers that are skipped, blank
+	 * lines, chunk sizes and extensions. */
 	ANSWER_LIMIT_OTHER_BYTES,
-	ANSWER_LIMIT_HEAD_MS,
+	ANSWER_LIMIT_HEAD_MS, /* time from the first byte of a head to its end */
 };
 
 enum {
--- a/src/http/broken_answer_test.c
+++ b/src/http/broken_answer_test.c
@@ -1,11 +1,9 @@
-#include <apr_general.h>
 #include <criterion/criterion.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "http/client.h"
+#include "http/client_test.h"
 #include "os/net.h"
 
 /* Answers that come before the request is written, and how their connection
@@ -17,7 +15,7 @@
 #define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 /* The body does not fit into the buffers of the connection. */
-enum { TURNS = 400, TURN_US = 2000, BODY_BYTES = 16 * 1024 * 1024 };
+enum { BODY_BYTES = 16 * 1024 * 1024 };
 
 enum ending { ENDING_RESET, ENDING_CLOSE_AND_RESET };
 
@@ -56,30 +54,6 @@
 	enum http_delivery delivery;
 };
 
-static struct loop loop;
-static struct http_client client;
-static int listen_fd;
-static struct address address;
-
-static void setup(void)
-{
-	struct error err = ERROR_INIT;
-
-	apr_initialize();
-	cr_assert(loop_init(&loop, &err));
-	cr_assert(http_client_init(&client, &loop, &err));
-	address_parse("127.0.0.1:0", &address, &err);
-	listen_fd = net_listen(&address, &err);
-	cr_assert_neq(listen_fd, NET_NONE);
-}
-
-static void teardown(void)
-{
-	http_client_finish(&client);
-	net_close(listen_fd);
-	loop_finish(&loop);
-}
-
 static void ended(const struct http_answer *answer, void *data)
 {
 	struct outcome *outcome = data;
@@ -88,26 +62,6 @@
 	outcome->delivery = answer->delivery;
 }
 
-static void run_turns(int count)
-{
-	while (count--)
-		loop_turn(&loop, TURN_US);
-}
-
-static int accept_one(void)
-{
-	struct address from;
-	int fd = NET_NONE;
-	int i;
-
-	for (i = 0; i < TURNS && fd == NET_NONE; i++) {
-		run_turns(1);
-		fd = net_accept(listen_fd, &from);
-	}
-	cr_assert_neq(fd, NET_NONE);
-	return fd;
-}
-
 static void end_connection(int fd, enum ending ending)
 {
 	const struct linger at_once = { 1, 0 };
@@ -132,18 +86,15 @@
 	cr_assert_eq(send(fd, breakage->answer, size, MSG_NOSIGNAL),
 		     (ssize_t)size);
 	if (breakage->apart)
-		run_turns(3);
+		client_test_run_turns(3);
 	end_connection(fd, breakage->ending);
 }
 
 static void send_request(struct outcome *outcome, const char *body,
 			 int connected_fd)
 {
-	char text[ADDRESS_TEXT_SIZE];
-	char url[ADDRESS_TEXT_SIZE + 16];
-	const struct http_request request = {
+	struct http_request request = {
 		.method = "POST",
-		.url = url,
 		.body = body,
 		.body_size = BODY_BYTES,
 		.timeout_ms = 5000,
@@ -152,9 +103,7 @@
 		.connected_fd = connected_fd,
 	};
 
-	snprintf(url, sizeof(url), "http://%s/x",
-		 address_format(&address, text));
-	http_client_send(&client, &request, ended, outcome);
+	client_test_send(&request, ended, outcome);
 }
 
 static void play(const struct breakage *breakage, const char *body)
@@ -165,17 +114,18 @@
 	int fd;
 
 	if (breakage->before) {
-		connected_fd = net_connect(&address, NULL, &err);
-		fd = accept_one();
+		connected_fd =
+			net_connect(&client_test.server_address, NULL, &err);
+		fd = client_test_accept();
 		answer_and_end(fd, breakage);
 		send_request(&outcome, body, connected_fd);
 	} else {
 		send_request(&outcome, body, 0);
-		fd = accept_one();
-		run_turns(3);
+		fd = client_test_accept();
+		client_test_run_turns(3);
 		answer_and_end(fd, breakage);
 	}
-	run_turns(20);
+	client_test_run_turns(20);
 	cr_expect(outcome.completed, "%s", breakage->name);
 	cr_expect_eq(outcome.delivery, breakage->delivery, "%s: %d",
 		     breakage->name, (int)outcome.delivery);
@@ -183,7 +133,8 @@
 
 /* Guards against an answer without a length that was reset and is passed on as
  * a complete one, and against the loss of one that came whole. */
-Test(broken_answer, is_never_complete, .init = setup, .fini = teardown)
+Test(broken_answer, is_never_complete, .init = client_test_setup,
+     .fini = client_test_teardown)
 {
 	char *body = calloc(1, BODY_BYTES);
 	size_t i;
--- a/src/http/endless_answer_test.c
+++ b/src/http/endless_answer_test.c
@@ -1,4 +1,3 @@
-#include <apr_general.h>
 #include <criterion/criterion.h>
 #include <stdio.h>
 #include <string.h>
@@ -6,8 +5,7 @@
 
 #include "base/counter.h"
 #include "http/answer_meter.h"
-#include "http/client.h"
-#include "os/clock.h"
+#include "http/client_test.h"
 #include "os/net.h"
 
 /* Bytes without end in place of an answer. */
@@ -17,8 +15,6 @@
 #define CHUNKED OK_HEAD "Transfer-Encoding: chunked\r\n\r\n"
 
 enum {
-	TURNS = 2000,
-	TURN_US = 1000,
 	BODY_MAX_BYTES = 64 * 1024,
 	READ_MAX_BYTES = 256 * 1024,
 	PIECE_BYTES = 32 * 1024,
@@ -85,30 +81,6 @@
 	char text[TEXT_SIZE];
 };
 
-static struct loop loop;
-static struct http_client client;
-static int listen_fd;
-static struct address address;
-
-static void setup(void)
-{
-	struct error err = ERROR_INIT;
-
-	apr_initialize();
-	cr_assert(loop_init(&loop, &err));
-	cr_assert(http_client_init(&client, &loop, &err));
-	address_parse("127.0.0.1:0", &address, &err);
-	listen_fd = net_listen(&address, &err);
-	cr_assert_neq(listen_fd, NET_NONE);
-}
-
-static void teardown(void)
-{
-	http_client_finish(&client);
-	net_close(listen_fd);
-	loop_finish(&loop);
-}
-
 static int64_t counter_value(const char *name)
 {
 	const struct counter *counter;
@@ -133,11 +105,8 @@
 static void send_request(struct outcome *outcome, int64_t timeout_ms)
 {
 	const struct http_header headers[] = { { "X-Id", "7" } };
-	char text[ADDRESS_TEXT_SIZE];
-	char url[ADDRESS_TEXT_SIZE + 16];
-	const struct http_request request = {
+	struct http_request request = {
 		.method = "GET",
-		.url = url,
 		.headers = headers,
 		.header_count = 1,
 		.timeout_ms = timeout_ms,
@@ -145,24 +114,8 @@
 		.echo_header = "X-Id",
 	};
 
-	snprintf(url, sizeof(url), "http://%s/x",
-		 address_format(&address, text));
 	memset(outcome, 0, sizeof(*outcome));
-	http_client_send(&client, &request, ended, outcome);
-}
-
-static int accept_one(void)
-{
-	struct address from;
-	int fd = NET_NONE;
-	int i;
-
-	for (i = 0; i < TURNS && fd == NET_NONE; i++) {
-		loop_turn(&loop, TURN_US);
-		fd = net_accept(listen_fd, &from);
-	}
-	cr_assert_neq(fd, NET_NONE);
-	return fd;
+	client_test_send(&request, ended, outcome);
 }
 
 /* Fills @piece with whole copies of @again. */
@@ -187,7 +140,8 @@
 			size -= (size_t)sent;
 			continue;
 		}
-		if (loop_turn(&loop, 0), net_peek(fd) == NET_FAILED)
+		client_test_run_turns(1);
+		if (net_peek(fd) == NET_FAILED)
 			return;
 	}
 }
@@ -203,11 +157,11 @@
 	int i;
 
 	send_request(&outcome, 10000);
-	fd = accept_one();
+	fd = client_test_accept();
 	send_all(fd, kind->start, strlen(kind->start));
-	for (i = 0; i < TURNS && !outcome.completed; i++) {
+	for (i = 0; i < CLIENT_TEST_TURNS && !outcome.completed; i++) {
 		send(fd, piece, size, MSG_NOSIGNAL);
-		loop_turn(&loop, TURN_US);
+		client_test_run_turns(1);
 	}
 	read_bytes = counter_value("http.answer_bytes") - before;
 	cr_expect(outcome.completed, "%s", kind->name);
@@ -216,14 +170,14 @@
 			 outcome.text);
 	cr_expect_leq(read_bytes, READ_MAX_BYTES, "%s: %lld", kind->name,
 		      (long long)read_bytes);
-	cr_expect_null(client.idle, "%s", kind->name);
+	cr_expect_null(client_test.client.idle, "%s", kind->name);
 	net_close(fd);
 }
 
 /* Guards against reading and holding bytes without end until the deadline of
  * the request, while other requests of the process wait. */
-Test(endless_answer, is_closed_at_its_limit, .init = setup, .fini = teardown,
-     .timeout = 60)
+Test(endless_answer, is_closed_at_its_limit, .init = client_test_setup,
+     .fini = client_test_teardown, .timeout = 60)
 {
 	size_t i;
 
@@ -233,8 +187,8 @@
 
 /* Guards against a head that comes too slowly to ever reach a limit of bytes,
  * and against a limit on the time that a request takes before its answer. */
-Test(endless_answer, a_head_comes_in_time, .init = setup, .fini = teardown,
-     .timeout = 60)
+Test(endless_answer, a_head_comes_in_time, .init = client_test_setup,
+     .fini = client_test_teardown, .timeout = 60)
 {
 	static const struct {
 		const char *name;
@@ -263,22 +217,22 @@
 		int fd;
 		int turn;
 
-		client.head_max_ms = cases[i].head_max_ms;
+		client_test.client.head_max_ms = cases[i].head_max_ms;
 		send_request(&outcome, 0);
-		fd = accept_one();
+		fd = client_test_accept();
 		send_all(fd, cases[i].first, strlen(cases[i].first));
 		/* Each turn waits until its time has passed. */
 		for (turn = 0; turn < 2 * SHORT_MS; turn++)
-			loop_turn(&loop, US_PER_MS);
+			client_test_run_turns(1);
 		send_all(fd, cases[i].rest, strlen(cases[i].rest));
 		for (turn = 0; turn < 20 && !outcome.completed; turn++)
-			loop_turn(&loop, TURN_US);
+			client_test_run_turns(1);
 		cr_expect(outcome.completed, "%s", cases[i].name);
 		cr_expect_eq(outcome.delivery, cases[i].delivery, "%s: %s",
 			     cases[i].name, outcome.text);
 		cr_expect_not(outcome.timed_out, "%s", cases[i].name);
 		net_close(fd);
-		for (turn = 0; turn < 20 && client.idle; turn++)
-			loop_turn(&loop, TURN_US);
+		for (turn = 0; turn < 20 && client_test.client.idle; turn++)
+			client_test_run_turns(1);
 	}
 }
