http: a connection that is passed over makes room for the new one

Its caller gives all requests one ID, so each request left one more idle connection at the upstream (the users' clients give each request its own; a careless caller may not).

If no kept connection is suitable, the one that was passed over is closed as the new one opens, so that the number of connections stays as it was.

Test: extra_answer/belongs_to_no_later_attempt now counts the idle connections of each schedule, one; with the change left out it found 2 to 4.

--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -517,25 +517,36 @@
 {
 	int64_t idle_us = now(conn) - conn->idle_us;
 
-	if (!address_equal(&conn->server_address, &transfer->server_address) ||
-	    idle_us >= conn->keep_alive_us ||
-	    (transfer->idle_max_us && idle_us >= transfer->idle_max_us))
-		return false;
-	if (!transfer->echo_header ||
-	    !carried_has(&conn->carried, transfer->echo_value, now(conn)))
-		return true;
-	counter_add(&repeated_count, 1);
-	return false;
+	return address_equal(&conn->server_address,
+			     &transfer->server_address) &&
+	       idle_us < conn->keep_alive_us &&
+	       (!transfer->idle_max_us || idle_us < transfer->idle_max_us);
 }
 
+static bool has_carried(const struct client_conn *conn,
+			const struct http_transfer *transfer)
+{
+	return transfer->echo_header &&
+	       carried_has(&conn->carried, transfer->echo_value, now(conn));
+}
+
+/* A connection that carried the request before is replaced by the new one if no
+ * other is suitable. Otherwise a caller that gives all requests the same ID
+ * would leave one more idle connection with each of them. */
 struct client_conn *client_conn_reuse(struct http_transfer *transfer)
 {
+	struct client_conn *passed_over = NULL;
 	struct client_conn *conn;
 	struct client_conn *next;
 
 	DL_FOREACH_SAFE(transfer->client->idle, conn, next) {
 		if (!can_reuse(conn, transfer))
 			continue;
+		if (has_carried(conn, transfer)) {
+			counter_add(&repeated_count, 1);
+			passed_over = conn;
+			continue;
+		}
 		/* The server may have closed the connection meanwhile. */
 		if (net_peek(conn->fd) != NET_AGAIN) {
 			client_conn_free(conn);
@@ -549,6 +560,8 @@
 		write_output(conn);
 		return conn;
 	}
+	if (passed_over)
+		client_conn_free(passed_over);
 	return NULL;
 }
 
--- a/src/http/extra_answer_test.c
+++ b/src/http/extra_answer_test.c
@@ -3,8 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <utlist.h>
 
-#include "http/client.h"
+#include "http/client_conn.h"
 #include "os/net.h"
 
 /* Answers that a server sends a second time. */
@@ -28,6 +29,7 @@
 	{ "a third attempt", { "1", "1", "1" }, 3 },
 	{ "a second attempt after another request", { "1", "2", "1" }, 2 },
 	{ "attempts at two requests by turns", { "1", "2", "1", "2" }, 2 },
+	{ "the same ID for all requests", { "1", "1", "1", "1" }, 4 },
 };
 
 struct fake_server {
@@ -123,6 +125,8 @@
 	char text[ADDRESS_TEXT_SIZE];
 	char url[ADDRESS_TEXT_SIZE + 16];
 	char wanted[16];
+	const struct client_conn *idle;
+	int idle_count;
 	uint32_t i;
 
 	memset(&server, 0, sizeof(server));
@@ -141,6 +145,9 @@
 				 "%s: request %u got answer %s", schedule->name,
 				 i, outcome.attempt);
 	}
+	DL_COUNT(client.idle, idle, idle_count);
+	cr_expect_eq(idle_count, 1, "%s: %d idle connections", schedule->name,
+		     idle_count);
 	cr_expect_eq(server.connections, schedule->connections,
 		     "%s: %u connections", schedule->name, server.connections);
 	http_client_finish(&client);
