call, http: log which attempt a line is about and what its verdict rests on

Now `served`, `turned_away` and `broken_off` have the number of the attempt, and each entry of `tried` has the same number and the verdict on this attempt alone; `served` says what proves that the request has not run (a field, a status, or that no byte was written) and whether the answer named the request; the HTTP server writes a line for what it refuses before it is read. `explain` tells all of it.

--- a/src/call/call_attempts.c
+++ b/src/call/call_attempts.c
@@ -153,6 +153,7 @@
 					      .reason = reason };
 
 	call_attempts->state = ATTEMPT_IDLE;
+	call_attempts->last_verdict = verdict;
 	call_attempts->earlier_verdict =
 		verdict_join(call_attempts->earlier_verdict, verdict);
 	if (verdict == VERDICT_NOT_RUN && call_attempts->taken)
@@ -195,6 +196,7 @@
 	const struct attempt_action again = { .type = ATTEMPT_TRY,
 					      .reason = CALL_UPSTREAM_ERROR };
 
+	call_attempts->last_verdict = VERDICT_RAN;
 	if (!error || !may_retry_after_error(call_attempts, now_us))
 		return end(call_attempts, ATTEMPT_REPLY, VERDICT_RAN,
 			   CALL_REASON_NONE);
@@ -321,6 +323,9 @@
 	struct attempt_action action = end(call_attempts, ATTEMPT_FAIL,
 					   verdict_now(call_attempts), reason);
 
+	call_attempts->last_verdict = call_attempts->may_have_left
+					      ? VERDICT_MAY_HAVE_RUN
+					      : VERDICT_NOT_RUN;
 	action.cancel = cancel;
 	return action;
 }
--- a/src/call/call_attempts.h
+++ b/src/call/call_attempts.h
@@ -105,6 +105,7 @@
  * @taken: attempts that the current attempt took from @chain
  * @attempt_count: attempts begun, including the current one
  * @earlier_verdict: joined verdict on all ended attempts
+ * @last_verdict: verdict on the attempt that ended last
  * @error_seen: an earlier attempt was answered with a failure and retried
  * @may_have_left: a byte of the current attempt may have left this node
  * @incarnation: incarnation of the node that got the current attempt
@@ -125,6 +126,7 @@
 	uint32_t taken;
 	uint32_t attempt_count;
 	enum verdict earlier_verdict;
+	enum verdict last_verdict;
 	bool error_seen;
 	bool may_have_left;
 	uint64_t incarnation;
--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -404,7 +404,8 @@
 	struct call *next;
 
 	DL_FOREACH_SAFE(caller->calls, call, next) {
-		call_end_attempt(call, ENDPOINT_CANCELLED, -1, "stopped");
+		call_end_attempt(call, ENDPOINT_CANCELLED, -1,
+				 VERDICT_MAY_HAVE_RUN, "stopped");
 		call_free(call);
 	}
 	startup_queue_finish(&caller->startup_queue);
--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -99,15 +99,28 @@
 	struct answer_stream *prev;
 };
 
+/** enum call_proof - what proves that the upstream did not run a request. */
+enum call_proof {
+	PROOF_NONE,
+	PROOF_UNSENT, /* no byte of the request was written */
+	PROOF_FIELD,  /* the field of an answer that reports a rejection */
+	PROOF_STATUS, /* the status for a request to another incarnation */
+};
+
+/** call_proof_name() - stable name, for logs; NULL for PROOF_NONE. */
+const char *call_proof_name(enum call_proof proof);
+
 /**
  * struct upstream_result - result of an exchange with the upstream
  * @answered: true if there is a complete answer to pass on
  * @outcome: verdict on the request, and the reason if there is no answer
+ * @proof: what the verdict VERDICT_NOT_RUN rests on
  * @gate_feedback: how the exchange ended, as reported to the gate
  */
 struct upstream_result {
 	bool answered;
 	struct call_outcome outcome;
+	enum call_proof proof;
 	enum gate_outcome gate_feedback;
 };
 
--- a/src/call/inbound_log.c
+++ b/src/call/inbound_log.c
@@ -37,6 +37,15 @@
 	return fingerprint_text(inbound->fingerprint.content, text);
 }
 
+/* Returns whether the answer named the request; NULL if none was asked to. */
+static const char *named_text(const struct call_names *names,
+			      const struct http_answer *answer)
+{
+	if (!names->passes_request_id || answer->delivery != HTTP_ANSWERED)
+		return NULL;
+	return answer->names_request ? "yes" : "no";
+}
+
 /* Logs an attempt that was sent to the upstream. */
 void inbound_log_served(const struct inbound *inbound,
 			const struct upstream_result *result,
@@ -50,10 +59,13 @@
 		LOG_TEXT("request", inbound->context.request_id),
 		LOG_TEXT("from", inbound->peer ? link_name(&inbound->peer->link)
 					       : "lost"),
+		LOG_NUMBER("attempt", (int64_t)inbound->id.sequence),
 		LOG_TEXT("start", server->upstream_id),
 		LOG_TEXT("end", inbound_end_name(&result->outcome)),
 		LOG_TEXT("verdict", verdict_name(result->outcome.verdict)),
+		LOG_TEXT("proof", call_proof_name(result->proof)),
 		LOG_NUMBER("status", answer->status),
+		LOG_TEXT("named", named_text(server->options.names, answer)),
 		LOG_TEXT("text", result->answered ? NULL : answer->err->text),
 		LOG_TEXT("kind", inbound->context.kind),
 		LOG_TEXT("content", content_text(inbound, content)),
@@ -85,6 +97,7 @@
 	char content[FINGERPRINT_TEXT_SIZE];
 	const struct log_field fields[] = {
 		LOG_TEXT("request", inbound->context.request_id),
+		LOG_NUMBER("attempt", (int64_t)inbound->id.sequence),
 		LOG_TEXT("start", inbound->server->upstream_id),
 		LOG_TEXT("end", inbound_end_name(outcome)),
 		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
@@ -110,6 +123,7 @@
 		LOG_TEXT("request", inbound->context.request_id),
 		LOG_TEXT("from", inbound->peer ? link_name(&inbound->peer->link)
 					       : "lost"),
+		LOG_NUMBER("attempt", (int64_t)inbound->id.sequence),
 		LOG_TEXT("end", inbound_end_name(outcome)),
 		LOG_TEXT("verdict", verdict_name(outcome->verdict)),
 		LOG_TEXT("kind", inbound->context.kind),
--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -81,18 +81,22 @@
 }
 
 void call_end_attempt(struct call *call, enum endpoint_result result,
-		      double load, const char *end)
+		      double load, enum verdict verdict, const char *end)
 {
 	struct caller *caller = call->caller;
+	const struct trace_attempt attempt = {
+		.end = end,
+		.verdict = verdict,
+		.sequence = call->sequence,
+		.took_us = now(caller) - call->attempt_began_us,
+		.left_us = call->call_attempts.deadline_us - now(caller),
+	};
 
 	outbound_detach(call);
 	timer_cancel(caller->options.loop, &call->reconnect);
 	if (!call->endpoint)
 		return;
-	trace_add_attempt(&call->trace, call->endpoint, end,
-			  now(caller) - call->attempt_began_us,
-			  call->call_attempts.deadline_us - now(caller),
-			  now(caller));
+	trace_add_attempt(&call->trace, call->endpoint, &attempt, now(caller));
 	placement_tried(&call->placement, call->endpoint);
 	endpoint_done(caller->options.router, call->endpoint, result, load,
 		      now(caller) - call->attempt_began_us, now(caller));
@@ -236,7 +240,8 @@
 			 action->cancel && action->reason == CALL_DEADLINE
 				 ? ENDPOINT_FAILED
 				 : ENDPOINT_CANCELLED,
-			 -1, call_reason_name(action->reason));
+			 -1, call->call_attempts.last_verdict,
+			 call_reason_name(action->reason));
 	/* Calls whose caller hung up are logged as well: the request failed for
 	 * the user, and only the log line shows why. */
 	call_log_end(call, call_reason_name(outcome.reason), outcome.verdict,
@@ -280,7 +285,7 @@
 	call_end_attempt(call,
 			 is_error(answer->status) ? ENDPOINT_ERROR
 						  : ENDPOINT_ANSWERED,
-			 answer->load, CALL_ANSWERED);
+			 answer->load, VERDICT_RAN, CALL_ANSWERED);
 	call_log_end(call, CALL_ANSWERED, VERDICT_RAN, answer->status);
 	call_free(call);
 }
@@ -322,9 +327,10 @@
 		apply_report(call);
 		keep_failure(call);
 		call_end_attempt(call, ENDPOINT_ERROR, call->failure.load,
-				 name);
+				 VERDICT_RAN, name);
 	} else {
-		call_end_attempt(call, ENDPOINT_FAILED, -1, name);
+		call_end_attempt(call, ENDPOINT_FAILED, -1,
+				 call->call_attempts.last_verdict, name);
 	}
 	call_begin_attempt(call);
 }
@@ -335,7 +341,9 @@
 	struct endpoint *endpoint = router_pick_instance(
 		call->caller->options.router, call->unreachable.instance);
 
-	call_end_attempt(call, ENDPOINT_FAILED, -1, call_reason_name(reason));
+	call_end_attempt(call, ENDPOINT_FAILED, -1,
+			 call->call_attempts.last_verdict,
+			 call_reason_name(reason));
 	call->endpoint = endpoint;
 	if (!endpoint) {
 		call_step_reason(call, ATTEMPT_EVENT_GIVE_UP, reason);
@@ -448,7 +456,7 @@
 	if (is_gate_full(&refusal->outcome))
 		placement_gate_full(&call->placement);
 	call_end_attempt(call, endpoint_result_of(&refusal->outcome),
-			 refusal->load,
+			 refusal->load, refusal->outcome.verdict,
 			 call_reason_name(refusal->outcome.reason));
 	call_step(call, &event);
 }
--- a/src/call/outbound_call.h
+++ b/src/call/outbound_call.h
@@ -139,10 +139,11 @@
  * call_end_attempt() - end the current attempt
  * @result: what the attempt showed about the endpoint
  * @load: load reported by the node beside the upstream; -1: none
+ * @verdict: verdict on this attempt alone
  * @end: stable name of how the attempt ended
  */
 void call_end_attempt(struct call *call, enum endpoint_result result,
-		      double load, const char *end);
+		      double load, enum verdict verdict, const char *end);
 
 /** call_free() - free a call whose caller has its answer or is gone. */
 void call_free(struct call *call);
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -42,17 +42,27 @@
  * own calls. Proof is the header field in which only the upstream itself, never
  * a node, reports that it rejected the request before it ran.
  */
-static bool proves_not_run(const struct call_names *names,
-			   const struct http_answer *answer)
+static enum call_proof proof_of(const struct call_names *names,
+				const struct http_answer *answer)
 {
 	const char *header_value = http_answer_header(answer, names->not_run);
 
 	if (names->wrong_target_status &&
 	    answer->status == names->wrong_target_status)
-		return true;
-	return is_shed(answer) && header_value &&
-	       (!names->not_run_value ||
-		!strcasecmp(header_value, names->not_run_value));
+		return PROOF_STATUS;
+	if (is_shed(answer) && header_value &&
+	    (!names->not_run_value ||
+	     !strcasecmp(header_value, names->not_run_value)))
+		return PROOF_FIELD;
+	return PROOF_NONE;
+}
+
+const char *call_proof_name(enum call_proof proof)
+{
+	static const char *const proof_names[] = { NULL, "unsent", "field",
+						   "status" };
+
+	return proof_names[proof];
 }
 
 /* Statuses from which a caller concludes that its request has not run. */
@@ -91,6 +101,7 @@
 
 	if (answer->delivery == HTTP_NOT_SENT) {
 		result.outcome.verdict = VERDICT_NOT_RUN;
+		result.proof = PROOF_UNSENT;
 		return result;
 	}
 	if (answer->timed_out) {
@@ -104,7 +115,8 @@
 	if (!answer->delimited && !names->close_delimited)
 		return result;
 	result.gate_feedback = is_shed(answer) ? GATE_SHED : GATE_OK;
-	if (proves_not_run(names, answer)) {
+	result.proof = proof_of(names, answer);
+	if (result.proof != PROOF_NONE) {
 		result.outcome.verdict = VERDICT_NOT_RUN;
 		result.outcome.reason = CALL_SHED;
 		result.outcome.retry_after_ms = retry_after_ms(answer);
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -51,6 +51,13 @@
 	return transfer->written ? HTTP_MAY_BE_SENT : HTTP_NOT_SENT;
 }
 
+/* An answer with another value was skipped. */
+static bool names_request(const struct http_transfer *transfer)
+{
+	return transfer->echo_header &&
+	       http_head_find(&transfer->head, transfer->echo_header);
+}
+
 void transfer_end(struct http_transfer *transfer, enum error_code code,
 		  const char *text)
 {
@@ -71,6 +78,7 @@
 		error_set(&err, code, "%s", text);
 	if (transfer->complete) {
 		answer.header_count = http_head_split(&transfer->head, headers);
+		answer.names_request = names_request(transfer);
 		answer.body = buffer_data(&transfer->body);
 		answer.body_size = buffer_size(&transfer->body);
 	}
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -77,6 +77,7 @@
  * @timed_out: whether @timeout_ms or @connect_timeout_ms of the request passed
  * @reused: whether the request used an idle connection
  * @connection: number of the connection within its client; 0 if there was none
+ * @names_request: whether the answer repeats the value of @echo_header
  * @err: reason why there is no complete answer
  */
 struct http_answer {
@@ -90,6 +91,7 @@
 	bool timed_out;
 	bool reused;
 	uint64_t connection;
+	bool names_request;
 	const struct error *err;
 };
 
--- a/src/http/exchange.c
+++ b/src/http/exchange.c
@@ -5,10 +5,13 @@
 #include <strings.h>
 #include <utlist.h>
 
+#include "base/log.h"
 #include "http/conn.h"
 #include "http/target.h"
 #include "os/clock.h"
 
+static const char component[] = "http";
+
 enum {
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
@@ -284,6 +287,23 @@
 	finish_reply(exchange);
 }
 
+/* Without this line, nothing would tell why a request has no line of a call. */
+static void log_refused(const struct http_exchange *exchange,
+			unsigned int status, const char *reason)
+{
+	const char *name = exchange->server->options.id_field;
+	const struct log_field fields[] = {
+		LOG_TEXT("request",
+			 name ? http_head_find(&exchange->head, name) : NULL),
+		LOG_TEXT("end", reason),
+		LOG_TEXT("verdict", "not-run"),
+		LOG_NUMBER("status", status),
+	};
+
+	log_request(LOG_OUTCOME, component, "refused", fields,
+		    sizeof(fields) / sizeof(fields[0]));
+}
+
 void exchange_refuse(struct http_exchange *exchange, unsigned int status,
 		     const char *reason)
 {
@@ -301,6 +321,7 @@
 
 	if (status != STATUS_UNAVAILABLE)
 		count--;
+	log_refused(exchange, status, reason);
 	exchange->refused = true;
 	exchange->close_after_reply = true;
 	exchange->state = EXCHANGE_PENDING;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -64,6 +64,8 @@
  *	are closed at once
  * @idle_timeout_ms: maximum time without a request in progress, or without
  *	progress in reading a body or writing answers, in milliseconds
+ * @id_field: header field with the ID of a request, for log lines; NULL for
+ *	none
  * @handler: called for each complete request
  * @data: passed to @handler
  */
@@ -75,6 +77,7 @@
 	size_t held_bytes_max;
 	uint32_t max_connections;
 	int64_t idle_timeout_ms;
+	const char *id_field;
 	http_handler_fn *handler;
 	void *data;
 };
--- a/src/node/command_explain.c
+++ b/src/node/command_explain.c
@@ -100,7 +100,7 @@
 	size_t i;
 
 	json_array_foreach(lines, i, line)
-		if (is_event(line, "call"))
+		if (is_event(line, "call") || is_event(line, "refused"))
 			found = line;
 	return found;
 }
@@ -158,6 +158,8 @@
 		snprintf(cause, size,
 			 "the line of the caller's node is missing: its log is "
 			 "not among the files, or the line was left out");
+	else if (is_event(end, "refused"))
+		snprintf(cause, size, "refused before it was read: %s", reason);
 	else if (status >= 500)
 		snprintf(cause, size, "the upstream itself answered with %lld",
 			 status);
@@ -216,16 +218,24 @@
 		       number_of(line, "held_ms"), text_of(line, "ahead"),
 		       text_of(line, "end"), number_of(line, "late_ms"));
 	else if (is_event(line, "served"))
-		printf("asked its upstream for %s: %s, %s, status %lld, after "
-		       "%lld ms in the queue and %lld ms there, on a %s "
-		       "connection%s%s\n",
-		       text_of(line, "from"), text_of(line, "end"),
-		       text_of(line, "verdict"), number_of(line, "status"),
+		printf("asked its upstream for %s, attempt %lld: %s, %s%s%s, "
+		       "status %lld, after %lld ms in the queue and %lld ms there, on a %s "
+		       "connection%s%s%s\n",
+		       text_of(line, "from"), number_of(line, "attempt"),
+		       text_of(line, "end"), text_of(line, "verdict"),
+		       *text_of(line, "proof") ? " by " : "",
+		       text_of(line, "proof"), number_of(line, "status"),
 		       number_of(line, "queued_ms"),
 		       number_of(line, "upstream_ms"),
 		       text_of(line, "connection"),
+		       strcmp(text_of(line, "named"), "no")
+			       ? ""
+			       : ", in an answer that does not name the request",
 		       *text_of(line, "text") ? ": " : "",
 		       text_of(line, "text"));
+	else if (is_event(line, "refused"))
+		printf("refused it before it was read: %s, status %lld\n",
+		       text_of(line, "end"), number_of(line, "status"));
 	else if (is_event(line, "broken_off"))
 		printf("broke it off: %s, %s, after %lld ms in the queue and "
 		       "%lld ms at its upstream, %lld ms left\n",
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -376,6 +376,7 @@
 		.max_connections = (uint32_t)settings->call.max_calls +
 				   CALLER_CONNECTIONS_EXTRA,
 		.idle_timeout_ms = CALLERS_IDLE_MS,
+		.id_field = call_names(settings->node.form)->request_id,
 		.handler = calls_handle,
 		.data = &node->calls,
 	};
--- a/test/functional/golden_test.c
+++ b/test/functional/golden_test.c
@@ -286,7 +286,8 @@
 	"{\"time\":\"2026-03-10T06:08:41.018Z\",\"level\":\"info\","           \
 	"\"slice\":\"call\",\"event\":\"served\",\"data_centre\":\"dc-c\","    \
 	"\"instance\":\"node-c-1\",\"request\":\"71365a7de574db4b\","          \
-	"\"from\":\"itself\",\"start\":\"i-8\",\"end\":\"upstream-failed\","   \
+	"\"from\":\"itself\",\"attempt\":12,\"start\":\"i-8\","                \
+	"\"end\":\"upstream-failed\","                                         \
 	"\"verdict\":\"may-have-run\",\"status\":0,"                           \
 	"\"text\":\"connection reset\",\"kind\":\"today\",\"queued_ms\":101,"  \
 	"\"upstream_ms\":0,\"connection\":\"kept\",\"running\":5,"             \
@@ -316,6 +317,21 @@
 	"\"kind\":\"today\",\"status\":200,\"held_ms\":840,"                   \
 	"\"late_ms\":470,\"ready_late_ms\":0}\n"
 
+/* Two attempts of one node at one upstream, and a request that was not read. */
+#define REJECTED_LINE(time, attempt, named)                                    \
+	"{\"time\":\"2026-03-10T06:09:12." time "Z\",\"level\":\"info\","      \
+	"\"slice\":\"call\",\"event\":\"served\",\"data_centre\":\"dc-b\","    \
+	"\"instance\":\"node-b-5\",\"request\":\"aff540c39f52bbee\","          \
+	"\"from\":\"node-c-1\",\"attempt\":" attempt ",\"start\":\"i-8\","     \
+	"\"end\":\"shed\",\"verdict\":\"not-run\",\"proof\":\"field\","        \
+	"\"status\":429,\"named\":\"" named "\",\"queued_ms\":0,"              \
+	"\"upstream_ms\":1,\"connection\":\"kept\"}\n"
+#define UNREAD_LINE                                                            \
+	"{\"time\":\"2026-03-10T06:09:13.000Z\",\"level\":\"info\","           \
+	"\"slice\":\"http\",\"event\":\"refused\",\"data_centre\":\"dc-c\","   \
+	"\"instance\":\"node-c-1\",\"request\":\"0f1e2d3c4b5a6978\","          \
+	"\"end\":\"body-timeout\",\"verdict\":\"not-run\",\"status\":408}\n"
+
 Test(golden, a_request_is_explained, .init = setup, .fini = teardown,
      .timeout = 60)
 {
@@ -323,7 +339,9 @@
 		     CALL_LINE
 		     "not a line of a node\n" SERVED_LINE
 		     "{\"time\":\"2026-03-1\n" TURNED_AWAY_LINE REFUSED_LINE
-			     HELD_LINES);
+			     HELD_LINES REJECTED_LINE("100", "7", "yes")
+				     REJECTED_LINE("104", "9", "no")
+					     UNREAD_LINE);
 	session_note(&session, "refused where it was asked");
 	session_run(&session, "explain 44ca850ec3a52351 @nodes.log");
 	session_note(&session, "the caller's node has written nothing");
@@ -332,6 +350,10 @@
 	session_run(&session, "explain 9a0ce20cab0c2711 @nodes.log");
 	session_note(&session, "its answer waited on the caller's connection");
 	session_run(&session, "explain 5ce19b0a77d1e380 @nodes.log");
+	session_note(&session, "what proves that two attempts have not run");
+	session_run(&session, "explain aff540c39f52bbee @nodes.log");
+	session_note(&session, "refused before it was read");
+	session_run(&session, "explain 0f1e2d3c4b5a6978 @nodes.log");
 	session_note(&session, "nobody has a line of it");
 	session_run(&session, "explain 0000000000000000 @nodes.log");
 	session_note(&session, "for machines");
