test, standin: unsafe requests under rejections, doubled answers and disturbances

Callers saw an unsafe request answered as not run that had run. The incident's shape with real processes: two nodes on the platform's interface, a rejecting upstream beside one of them, unsafe PUTs on kept and on new connections, the stand-in's own count of runs against the statuses that promise "not run".

The stand-in of the upstream rejects, sends again, leaves the ID out, loses answers and is replaced by shares of a seeded draw, and announces itself by heartbeats; the cluster of the tests speaks the platform's interface; a load's audit counts false promises.

--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -3,6 +3,7 @@
 #include <dirent.h>
 #include <jansson.h>
 #include <signal.h>
+#include <sodium.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,6 +19,7 @@
 	ANSWER_SIZE = 1 << 18,
 	LOG_PRINTED_BYTES = 2000,
 	OCTETS = 250,
+	DOCUMENT_SIZE = 16 * 1024,
 };
 
 static void sleep_ms(int64_t ms)
@@ -101,6 +103,9 @@
 		"[node]\ndeployment = \"test\"\ndata_centre = \"dc-%u\"\n"
 		"instance = \"%s\"\n",
 		node->centre + 1, node->instance);
+	if (cluster->options.target_platform)
+		fprintf(file, "interface = \"platform\"\nservice = \"%s\"\n",
+			node->service);
 	write_listen(node, file);
 	fputs("[peers]\nsecret = \"a secret of the tests\"\n", file);
 	write_seeds(cluster, i, file);
@@ -184,6 +189,10 @@
 	char log[256];
 	uint32_t j;
 
+	if (cluster->options.target_platform) {
+		args[count++] = "--interface";
+		args[count++] = "platform";
+	}
 	for (j = 0; cluster->options.upstream_args[j]; j++)
 		args[count++] = cluster->options.upstream_args[j];
 	format_path(cluster, log, sizeof(log), "upstream", i, "log");
@@ -195,7 +204,9 @@
 
 static bool start_platform(struct cluster *cluster)
 {
-	const char *args[] = { "platform", "--port", "0", NULL };
+	const char *kind = cluster->options.target_platform ? "metadata"
+							    : "platform";
+	const char *args[] = { kind, "--port", "0", NULL };
 	char log[256];
 
 	format_path(cluster, log, sizeof(log), "platform", 0, "log");
@@ -448,6 +459,22 @@
 	return version;
 }
 
+bool cluster_write_document(struct cluster *cluster, const char *document)
+{
+	static char value[DOCUMENT_SIZE];
+	static char body[DOCUMENT_SIZE + 256];
+	char answer[256];
+
+	sodium_bin2base64(value, sizeof(value), (const uint8_t *)document,
+			  strlen(document), sodium_base64_VARIANT_ORIGINAL);
+	snprintf(body, sizeof(body),
+		 "{\"precondition\":[],\"deletes\":[],\"writes\":[{\"key\":"
+		 "\"op/config\",\"value\":\"%s\",\"lease\":0}]}",
+		 value);
+	return fetch_simple("POST", cluster->platform_address, "/-/kv-txn",
+			    body, answer, sizeof(answer)) == 200;
+}
+
 void cluster_partition(struct cluster *cluster, uint32_t centre, bool cut)
 {
 	char answer[256];
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -36,6 +36,8 @@
  *	@profile
  * @settings: TOML text appended to each node's settings; NULL for none
  * @upstream_args: further arguments of each upstream stand-in, ended by NULL
+ * @target_platform: nodes, upstreams and the stand-in of the service use the
+ *	interface of the target platform
  * @no_seeds: nodes start without addresses of other nodes
  * @no_platform: starts no stand-in of the platform's service
  */
@@ -47,6 +49,7 @@
 	const char *profiles[CLUSTER_SERVICES_MAX];
 	const char *settings;
 	const char *upstream_args[PROCESS_ARGS_MAX / 2];
+	bool target_platform;
 	bool no_seeds;
 	bool no_platform;
 };
@@ -154,6 +157,13 @@
 uint64_t cluster_accept(struct cluster *cluster, uint32_t i, const char *name,
 			const char *text);
 
+/**
+ * cluster_write_document() - write the configuration of the target platform
+ *
+ * Return: false if the store did not acknowledge it.
+ */
+bool cluster_write_document(struct cluster *cluster, const char *document);
+
 /** cluster_version() - version in force at node @i, 0 if there is none. */
 uint64_t cluster_version(struct cluster *cluster, uint32_t i);
 
--- a/test/fleet/load.c
+++ b/test/fleet/load.c
@@ -18,6 +18,10 @@
 	BODY_MAX_BYTES = 1024 * 1024,
 	NUMBER_SIZE = 24,
 	KEY_FIELD_SIZE = 128,
+	STATUS_TIMEOUT = 408,
+	STATUS_MISDIRECTED = 421,
+	STATUS_TOO_MANY = 429,
+	STATUS_UNAVAILABLE = 503,
 };
 
 /* Context of the answer callback of one request. */
@@ -127,6 +131,12 @@
 	return i;
 }
 
+const char *load_deadline_field(const struct load *load)
+{
+	return load->options.deadline_field ? load->options.deadline_field
+					    : "Geraniumplank-Deadline-Ms";
+}
+
 /* Adds the fields that name the tenant; @key holds the text of one of them. */
 static size_t add_tenant_fields(const struct load *load, uint32_t tenant_index,
 				struct http_header *headers,
@@ -184,8 +194,7 @@
 	if (kind->deadline_ms) {
 		snprintf(deadline, sizeof(deadline), "%lld",
 			 (long long)kind->deadline_ms);
-		headers[request.header_count].name =
-			"Geraniumplank-Deadline-Ms";
+		headers[request.header_count].name = load_deadline_field(load);
 		headers[request.header_count++].value = deadline;
 	}
 	flight->load = load;
@@ -395,6 +404,14 @@
 	return runs;
 }
 
+/* Returns whether a caller concludes from the status that its request did not
+ * run. */
+static bool promises_not_run(unsigned int status)
+{
+	return status == STATUS_TIMEOUT || status == STATUS_MISDIRECTED ||
+	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
+}
+
 void load_check(const struct load *load, json_t *const stats[],
 		uint32_t stats_count, struct load_audit *audit)
 {
@@ -408,6 +425,9 @@
 		if (load->options.kinds[record->kind].non_idempotent &&
 		    runs > 1)
 			audit->duplicate_runs++;
+		if (load->options.kinds[record->kind].non_idempotent && runs &&
+		    promises_not_run(record->status))
+			audit->false_promises++;
 		if (record->outcome == LOAD_NOT_RUN && runs)
 			audit->false_not_run++;
 		if (record->outcome == LOAD_ANSWERED && record->status == 200 &&
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -46,7 +46,7 @@
  *	HTTP library may send a request again after a reused connection fails
  * @keepalive: sent only by callers with keep-alive connections; @share is 0,
  *	and the kind precedes the kinds with a share
- * @deadline_ms: sent as Geraniumplank-Deadline-Ms; 0 for no deadline
+ * @deadline_ms: deadline that is sent; 0 for no deadline
  */
 struct load_kind {
 	const char *name;
@@ -82,6 +82,8 @@
  * @tenants: tenants
  * @tenant_count: number of entries of @tenants; 0 sends no tenant
  * @key_scheme: authentication scheme of the keys; NULL for "Bearer"
+ * @deadline_field: header field of the deadline; NULL for
+ *	Geraniumplank-Deadline-Ms
  * @rate_per_s: average rate of the schedule
  * @poisson: gaps between requests are exponential, otherwise constant
  * @in_flight_max: while so many requests are in flight, further requests are
@@ -102,6 +104,7 @@
 	struct load_tenant tenants[LOAD_TENANTS_MAX];
 	uint32_t tenant_count;
 	const char *key_scheme;
+	const char *deadline_field;
 	double rate_per_s;
 	bool poisson;
 	uint32_t in_flight_max;
@@ -222,6 +225,9 @@
  */
 bool load_drain(struct load *load, int64_t timeout_ms);
 
+/** load_deadline_field() - header field of the deadline. */
+const char *load_deadline_field(const struct load *load);
+
 /** load_finish() - free all resources including the records. */
 void load_finish(struct load *load);
 
@@ -271,12 +277,15 @@
  * struct load_audit - contradictions between records and upstreams
  * @duplicate_runs: number of non-idempotent requests that ran more than once
  * @false_not_run: number of requests that ran despite the verdict "not-run"
+ * @false_promises: number of non-idempotent requests that ran despite a status
+ *	from which their caller concludes that they did not
  * @answered_not_run: number of requests answered with status 200 that no
  *	upstream ran
  */
 struct load_audit {
 	uint32_t duplicate_runs;
 	uint32_t false_not_run;
+	uint32_t false_promises;
 	uint32_t answered_not_run;
 };
 
--- a/test/fleet/load_keepalive.c
+++ b/test/fleet/load_keepalive.c
@@ -235,7 +235,8 @@
 		buffer_append_format(out, "Authorization: Bearer %s\r\n",
 				     tenant->key);
 	if (kind->deadline_ms)
-		buffer_append_format(out, "Geraniumplank-Deadline-Ms: %lld\r\n",
+		buffer_append_format(out, "%s: %lld\r\n",
+				     load_deadline_field(load),
 				     (long long)kind->deadline_ms);
 	buffer_append_text(out, "\r\n");
 	buffer_append(out, load->body, kind->body_bytes);
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -16,6 +16,8 @@
 	RETRY_US = 100 * US_PER_MS,
 	LEAVE_CHECK_US = 10 * US_PER_MS,
 	REQUEST_TIMEOUT_MS = 500,
+	/* Start times of the incarnations, as heartbeats tell them. */
+	START_GAP_MS = 60000,
 	ADDRESSES_SIZE = UPSTREAMS_MAX * ADDRESS_TEXT_SIZE,
 };
 
@@ -25,9 +27,12 @@
 	struct http_client *client;
 	char node[ADDRESS_TEXT_SIZE]; /* empty for none */
 	struct timer renew;
+	int64_t heartbeat_count;
 	bool gone;
 };
 
+static const json_int_t FIRST_START_MS = 1764720000000;
+
 static struct loop loop;
 static struct http_client client;
 static struct announcer announcers[UPSTREAMS_MAX];
@@ -76,22 +81,53 @@
 }
 
 static void send_to_node(struct announcer *announcer, const char *method,
-			 const char *body, http_answer_fn *done)
+			 const char *path, const char *body,
+			 http_answer_fn *done)
 {
-	char url[ADDRESS_TEXT_SIZE + 32];
+	const struct http_header headers[] = {
+		{ "Content-Type", "application/json" },
+	};
+	char url[ADDRESS_TEXT_SIZE + UPSTREAM_ID_SIZE + 32];
 	struct http_request request = {
 		.method = method,
 		.url = url,
+		.headers = headers,
+		.header_count = 1,
 		.body = body,
 		.body_size = strlen(body),
 		.timeout_ms = REQUEST_TIMEOUT_MS,
 		.max_answer_bytes = 4096,
 	};
 
-	snprintf(url, sizeof(url), "http://%s/v1/upstream", announcer->node);
+	snprintf(url, sizeof(url), "http://%s%s", announcer->node, path);
 	http_client_send(announcer->client, &request, done, announcer);
 }
 
+/* Sends a heartbeat in the form of the target platform. */
+static void send_heartbeat(struct announcer *announcer)
+{
+	struct upstream *upstream = &announcer->upstream;
+	char path[UPSTREAM_ID_SIZE + 32];
+	char address[ADDRESS_TEXT_SIZE];
+	char id[UPSTREAM_ID_SIZE];
+	json_t *body = json_pack(
+		"{s:s, s:I, s:{s:s, s:s, s:s, s:i}, s:{s:s, s:I, s:i}}",
+		"address",
+		address_format(http_server_address(&upstream->server), address),
+		"born", FIRST_START_MS + upstream->start * START_GAP_MS, "info",
+		"service", upstream->options.service, "version", "v1", "zone",
+		"hall", "slots", (int)upstream->options.slots, "status",
+		"state", upstream->leaving_us ? "draining" : "ready", "seq",
+		(json_int_t)++announcer->heartbeat_count, "cold_left_s", 0);
+	char *bytes = json_dumps(body, JSON_COMPACT);
+
+	snprintf(path, sizeof(path), "/-/Instances.Heartbeat/%s",
+		 upstream_id(upstream, id));
+	send_to_node(announcer, "POST", path, bytes, heartbeat_answered);
+	free(bytes);
+	json_decref(body);
+}
+
 static void renew(struct timer *timer, void *data)
 {
 	struct announcer *announcer = data;
@@ -106,6 +142,10 @@
 		timer_set(&loop, timer, clock_monotonic_us() + RETRY_US);
 		return;
 	}
+	if (upstream->options.heartbeats) {
+		send_heartbeat(announcer);
+		return;
+	}
 	body = json_pack("{s:s, s:s, s:s, s:i, s:s, s:f}", "service",
 			 upstream->options.service, "profile",
 			 upstream->options.profile, "address",
@@ -114,7 +154,8 @@
 			 "slots", (int)upstream->options.slots, "state",
 			 state_of(announcer), "load", upstream_load(upstream));
 	bytes = json_dumps(body, JSON_COMPACT);
-	send_to_node(announcer, "PUT", bytes, heartbeat_answered);
+	send_to_node(announcer, "PUT", "/v1/upstream", bytes,
+		     heartbeat_answered);
 	free(bytes);
 	json_decref(body);
 }
@@ -129,6 +170,20 @@
 	}
 }
 
+static void deregister(struct announcer *announcer)
+{
+	char path[UPSTREAM_ID_SIZE + 32];
+	char id[UPSTREAM_ID_SIZE];
+
+	if (!announcer->upstream.options.heartbeats) {
+		send_to_node(announcer, "DELETE", "/v1/upstream", "", removed);
+		return;
+	}
+	snprintf(path, sizeof(path), "/-/Instances.Deregister/%s",
+		 upstream_id(&announcer->upstream, id));
+	send_to_node(announcer, "POST", path, "", removed);
+}
+
 static bool may_exit(struct announcer *announcer, int64_t now_us)
 {
 	const struct upstream *upstream = &announcer->upstream;
@@ -173,7 +228,7 @@
 			timer_cancel(&loop, &announcer->renew);
 			log_stopped(&announcer->upstream);
 			if (announcer->node[0])
-				send_to_node(announcer, "DELETE", "", removed);
+				deregister(announcer);
 		}
 		gone += announcer->gone && !announcer->node[0];
 	}
@@ -194,6 +249,8 @@
 	options->service = standin_option(argc, argv, "service", "service");
 	options->profile = standin_option(argc, argv, "profile", "profile");
 	options->instance = standin_option(argc, argv, "instance", "standin");
+	options->heartbeats = !strcmp(
+		standin_option(argc, argv, "interface", "own"), "platform");
 	options->slots = (uint32_t)number(argc, argv, "slots", "9");
 	options->queue_max = (uint32_t)number(argc, argv, "queue", "1000");
 	options->service_us = number(argc, argv, "service-us", "0");
@@ -224,6 +281,7 @@
 	"Accepts HTTP on the loopback interface and runs requests. Options:\n"
 	"  --service, --profile, --instance   what it announces of itself\n"
 	"  --announce ADDRESS,...   nodes that it sends heartbeats to\n"
+	"  --interface platform   heartbeats in the form of the platform\n"
 	"  --port, --count   first port; number of upstreams\n"
 	"  --slots, --queue   requests that run at once, and that wait\n"
 	"  --service-us, --spread   service time; \"exponential\" spreads it\n"
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "http/client.h"
 #include "http/server.h"
+#include "standin/extra_answer.h"
 #include "standin/odd_answer.h"
 
 /**
@@ -18,7 +19,9 @@
  *
  *	GET  /standin/stats[?list=1]	counts; with list also runs by id
  *	POST /standin/faults {...}	see struct upstream_faults; with
- *					"crash":true the upstream crashes
+ *					"crash":true the upstream crashes, with
+ *					"replace":true another incarnation
+ *					takes its place at the address
  *	any other path			a request, answered with its id
  *
  * The query of a request may set ?bytes=N (size of the answer) and
@@ -52,6 +55,12 @@
  * @odd: kind of odd answers; NULL for none
  * @odd_every: each request of this number gets an odd answer, the others a
  *	usual one
+ * @reject: share of the requests that are rejected before they run
+ * @reject_status: status of these rejections
+ * @again: share of the answers that are sent a second time, before the next
+ *	answer on their connection
+ * @unnamed: share of the answers without the ID of their request
+ * @lose: share of the requests that run and whose connection is then closed
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
  */
@@ -69,6 +78,11 @@
 	int leaving;
 	const struct odd_kind *odd;
 	int odd_every;
+	double reject;
+	int reject_status;
+	double again;
+	double unnamed;
+	double lose;
 	double load;
 };
 
@@ -76,7 +90,10 @@
  * struct upstream_options - behaviour of an upstream
  * @service: name of the service that is announced
  * @profile: name of the profile that is announced
- * @instance: value of X-Instance in answers
+ * @instance: value of X-Instance in answers; with the number of the start, the
+ *	ID of the incarnation on the target platform
+ * @heartbeats: announces itself by the heartbeats of the target platform, and
+ *	rejects requests for another incarnation with 421
  * @slots: number of requests that run at once
  * @queue_max: maximum number of waiting requests; further requests are shed
  * @service_us: average service time
@@ -94,6 +111,7 @@
 	const char *service;
 	const char *profile;
 	const char *instance;
+	bool heartbeats;
 	uint32_t slots;
 	uint32_t queue_max;
 	int64_t service_us;
@@ -155,6 +173,9 @@
  * @loop: event loop, not owned
  * @server: HTTP server of the requests
  * @random: random numbers of the service times
+ * @fault_random: random numbers of the faults that have a share
+ * @extra: answers to be sent again
+ * @start: number of the present incarnation, from 1
  * @waiting: requests that wait for a slot
  * @running: requests that run
  * @waiting_count: number of entries of @waiting
@@ -165,6 +186,8 @@
  * @duplicate_runs: number of further runs of an id that ran before
  * @cancelled: number of requests that their caller aborted
  * @shed: number of requests refused with 503
+ * @rejected: number of requests rejected by share, or for another incarnation
+ * @sent_again: number of answers sent a second time
  * @odd_due: number of requests since the last odd answer
  * @odd_count: number of odd answers
  * @keys_shown: number of requests that came with a key of their caller
@@ -184,6 +207,9 @@
 	struct loop *loop;
 	struct http_server server;
 	struct random random;
+	struct random fault_random;
+	struct extra_answers extra;
+	uint32_t start;
 	struct upstream_job *waiting;
 	struct upstream_job *running;
 	uint32_t waiting_count;
@@ -194,6 +220,8 @@
 	uint64_t duplicate_runs;
 	uint64_t cancelled;
 	uint64_t shed;
+	uint64_t rejected;
+	uint64_t sent_again;
 	int odd_due;
 	uint64_t odd_count;
 	uint64_t keys_shown;
@@ -221,6 +249,10 @@
 		   struct error *err);
 void upstream_finish(struct upstream *upstream);
 
+/** upstream_id() - ID of the present incarnation, into @id. */
+const char *upstream_id(const struct upstream *upstream,
+			char id[UPSTREAM_ID_SIZE]);
+
 /** upstream_load() - load to report, see @load of struct upstream_faults. */
 double upstream_load(struct upstream *upstream);
 
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <utlist.h>
 
+/* The output of a connection: a server sends no answer twice. */
+#include "http/conn.h"
 #include "os/clock.h"
 #include "standin/upstream.h"
 
@@ -15,6 +17,8 @@
 	IDLE_MS = 60000,
 	STATUS_OK = 200,
 	STATUS_BAD_REQUEST = 400,
+	STATUS_MISDIRECTED = 421,
+	STATUS_TOO_MANY = 429,
 	STATUS_ERROR = 500,
 	STATUS_UNAVAILABLE = 503,
 	CUT_BYTES = 64,
@@ -134,11 +138,36 @@
 	return count;
 }
 
+static bool draw(struct upstream *upstream, double share)
+{
+	return share > 0 && random_share(&upstream->fault_random) < share;
+}
+
+/* Sends an answer, behind the copy of an earlier one if that is due. */
+static void send_answer(struct upstream *upstream,
+			struct http_exchange *exchange, unsigned int status,
+			const struct http_header *headers, size_t count,
+			const void *body, size_t size)
+{
+	struct http_conn *conn = exchange->conn;
+	size_t before;
+
+	extra_answers_send_due(&upstream->extra, exchange);
+	before = buffer_size(&conn->out);
+	http_exchange_reply(exchange, status, headers, count, body, size);
+	if (!draw(upstream, upstream->faults.again))
+		return;
+	extra_answers_keep(&upstream->extra, conn,
+			   buffer_size(&conn->out) - before);
+	upstream->sent_again++;
+}
+
 static void reply_to_job(struct upstream_job *job)
 {
+	bool named = !draw(job->upstream, job->upstream->faults.unnamed);
 	struct http_header headers[ANSWER_HEADERS_MAX] = {
 		{ "Content-Type", "text/plain" },
-		{ "X-Request-Id", job->id },
+		{ named ? "X-Request-Id" : "X-Unnamed", job->id },
 		{ "X-Instance", job->upstream->options.instance },
 		/* Upstreams of the target platform mark what they ran. */
 		{ "X-Response-Stamp", job->id },
@@ -165,9 +194,9 @@
 		bool fails = job->upstream->faults.fail > 0;
 
 		job->upstream->faults.fail -= fails;
-		http_exchange_reply(job->exchange,
-				    fails ? STATUS_ERROR : STATUS_OK, headers,
-				    count, body, (size_t)size);
+		send_answer(job->upstream, job->exchange,
+			    fails ? STATUS_ERROR : STATUS_OK, headers, count,
+			    body, (size_t)size);
 	}
 	free(body);
 }
@@ -207,6 +236,8 @@
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
 		http_exchange_close(job->exchange);
+	} else if (draw(upstream, upstream->faults.lose)) {
+		http_exchange_close(job->exchange);
 	} else {
 		reply_to_job(job);
 	}
@@ -293,10 +324,56 @@
 			    0);
 }
 
+static void reject(struct upstream *upstream, struct http_exchange *exchange,
+		   unsigned int status)
+{
+	const char *id = http_exchange_header(exchange, "X-Request-Id");
+	const struct http_header headers[] = {
+		{ "X-Not-Executed", "1" },
+		{ "Geraniumplank-Shed", "not-run" },
+		{ "X-Request-Id", id },
+	};
+	size_t count = sizeof(headers) / sizeof(headers[0]);
+
+	if (!id || draw(upstream, upstream->faults.unnamed))
+		count--;
+	upstream->rejected++;
+	send_answer(upstream, exchange, status, headers, count, "", 0);
+}
+
+const char *upstream_id(const struct upstream *upstream,
+			char id[UPSTREAM_ID_SIZE])
+{
+	snprintf(id, UPSTREAM_ID_SIZE, "%s-%u", upstream->options.instance,
+		 upstream->start);
+	return id;
+}
+
+/* Returns true if the request names another incarnation. */
+static bool is_misdirected(const struct upstream *upstream,
+			   const struct http_exchange *exchange)
+{
+	const char *target =
+		http_exchange_header(exchange, "X-Target-Instance");
+	char id[UPSTREAM_ID_SIZE];
+
+	return target && upstream->options.heartbeats &&
+	       strcmp(target, upstream_id(upstream, id)) != 0;
+}
+
 static bool refuse(struct upstream *upstream, struct http_exchange *exchange)
 {
 	struct upstream_faults *faults = &upstream->faults;
 
+	if (is_misdirected(upstream, exchange)) {
+		reject(upstream, exchange, STATUS_MISDIRECTED);
+		return true;
+	}
+	if (draw(upstream, faults->reject)) {
+		reject(upstream, exchange, (unsigned int)faults->reject_status);
+		return true;
+	}
+
 	if (faults->close_unrun > 0) {
 		faults->close_unrun--;
 		http_exchange_close(exchange);
@@ -379,6 +456,10 @@
 
 	json_object_set_new(stats, "odd",
 			    json_integer((json_int_t)upstream->odd_count));
+	json_object_set_new(stats, "rejected",
+			    json_integer((json_int_t)upstream->rejected));
+	json_object_set_new(stats, "sent_again",
+			    json_integer((json_int_t)upstream->sent_again));
 	json_object_set_new(stats, "request_crashes",
 			    json_integer(upstream->request_crash_count));
 	json_object_set_new(stats, "limit_peak",
@@ -432,6 +513,11 @@
 		{ "shed_plain", &faults->shed_plain, NULL },
 		{ "corrected", &faults->corrected, NULL },
 		{ "leaving", &faults->leaving, NULL },
+		{ "reject", NULL, &faults->reject },
+		{ "reject_status", &faults->reject_status, NULL },
+		{ "again", NULL, &faults->again },
+		{ "unnamed", NULL, &faults->unnamed },
+		{ "lose", NULL, &faults->lose },
 		{ "load", NULL, &faults->load },
 	};
 	size_t i;
@@ -503,6 +589,8 @@
 				    strlen("no such kind of odd answer\n"));
 		return;
 	}
+	if (json_is_true(json_object_get(body, "replace")))
+		upstream->start++;
 	if (json_is_true(json_object_get(body, "crash"))) {
 		json_decref(body);
 		crash(upstream);
@@ -598,8 +686,11 @@
 	upstream->options = *options;
 	upstream->loop = loop;
 	upstream->faults.load = -1;
+	upstream->faults.reject_status = STATUS_TOO_MANY;
+	upstream->start = 1;
 	upstream->started_us = clock_monotonic_us();
 	random_init(&upstream->random, port);
+	random_init(&upstream->fault_random, (uint64_t)port + 1);
 	timer_init(&upstream->restart, restart_expired, upstream);
 	upstream->port = port;
 	return start_listening(upstream, err);
@@ -613,6 +704,7 @@
 	free_jobs(upstream);
 	timer_cancel(upstream->loop, &upstream->restart);
 	http_server_finish(&upstream->server);
+	extra_answers_finish(&upstream->extra);
 	HASH_CLEAR(hh, upstream->runs);
 	LL_FOREACH_SAFE(upstream->run_list, run, next)
 		free(run);
