http: an answer without an ID counts only on a connection of its own

Callers saw an unsafe request answered 503, with the promise that it had not run, although it ran; some were then run twice.

Cause: an answer without X-Request-Id was taken for the own one, also on a connection that had carried other requests. A rejection sent again without its ID then proved that another request had not run. `served` showed it: not-run by field, named no, 0 ms at the upstream, on a kept connection. Ruled out: the queries, aborts and joins of the nodes (no row without answers sent again shows it).

Now an answer without the ID counts on the first use of a connection, where it can belong to no other request, and that connection is not kept; on a used one the connection is closed and the request may have run. A request that has no ID itself uses a new connection. An upstream that never names its requests is served as before, on a new connection each.

extra_answer/without_an_id_counts_on_a_new_connection_only failed before. framing/an_answer_is_complete_and_its_own_or_none expected a connection to be kept after an answer that does not name its request; its answers now name it, and a row holds that the connection is not kept without.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -7,6 +7,7 @@
 #include <strings.h>
 #include <utlist.h>
 
+#include "http/answer_owner.h"
 #include "http/client_conn.h"
 #include "os/clock.h"
 #include "os/net.h"
@@ -51,13 +52,6 @@
 	return transfer->written ? HTTP_MAY_BE_SENT : HTTP_NOT_SENT;
 }
 
-/* An answer with another value was skipped. */
-static bool names_request(const struct http_transfer *transfer)
-{
-	return transfer->echo_header &&
-	       http_head_find(&transfer->head, transfer->echo_header);
-}
-
 void transfer_end(struct http_transfer *transfer, enum error_code code,
 		  const char *text)
 {
@@ -78,7 +72,7 @@
 		error_set(&err, code, "%s", text);
 	if (transfer->complete) {
 		answer.header_count = http_head_split(&transfer->head, headers);
-		answer.names_request = names_request(transfer);
+		answer.names_request = answer_names_request(transfer);
 		answer.body = buffer_data(&transfer->body);
 		answer.body_size = buffer_size(&transfer->body);
 	}
@@ -242,8 +236,10 @@
 				    ? find_header(request, request->echo_header)
 				    : NULL;
 
-	if (!value)
+	if (!value) {
+		transfer->needs_new_connection |= request->echo_header != NULL;
 		return;
+	}
 	transfer->echo_header = strdup(request->echo_header);
 	transfer->echo_value = strdup(value);
 	if (!transfer->echo_header || !transfer->echo_value)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -48,8 +48,9 @@
  * @echo_header: name of a header field that the answer repeats from the
  *	request. An answer with another value of the field belongs to an earlier
  *	request on the connection and is skipped; the request does not use a
- *	connection that has carried a request with the same value. NULL for no
- *	such field
+ *	connection that has carried a request with the same value. An answer
+ *	without the field counts only on a new connection, and a request without
+ *	it uses a new one. NULL for no such field
  */
 struct http_request {
 	const char *method;
--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "http/answer_owner.h"
 #include "os/clock.h"
 #include "os/net.h"
 
@@ -31,6 +32,8 @@
 
 COUNTER(stray_count, "http.stray_answers",
 	"Answers skipped because they belonged to an earlier request");
+COUNTER(unnamed_count, "http.unnamed_answers",
+	"Answers refused because they may belong to an earlier request");
 COUNTER(read_bytes, "http.answer_bytes",
 	"Bytes read from servers to which requests were sent");
 COUNTER(over_limit_count, "http.answers_over_limit",
@@ -122,20 +125,25 @@
 	       parser->status_code == STATUS_NOT_MODIFIED;
 }
 
-/* Returns whether an answer is informational or belongs to an earlier request,
- * and must be skipped. */
-static bool is_to_skip(struct http_transfer *transfer)
+/* Decides whether the answer that begins is the one that counts.
+ * Return: false if it may belong to any request of the connection. */
+static bool check_owner(struct http_transfer *transfer)
 {
-	const char *echoed;
-
-	if (transfer->status < STATUS_OK)
+	transfer->skipping = transfer->status < STATUS_OK;
+	if (transfer->skipping)
 		return true;
-	if (!transfer->echo_header)
-		return false;
-	echoed = http_head_find(&transfer->head, transfer->echo_header);
-	if (!echoed || !strcmp(echoed, transfer->echo_value))
+	switch (answer_owner_of(transfer)) {
+	case ANSWER_OF_THIS:
+		break;
+	case ANSWER_OF_EARLIER:
+		counter_add(&stray_count, 1);
+		transfer->skipping = true;
+		break;
+	case ANSWER_OF_UNKNOWN:
+		counter_add(&unnamed_count, 1);
+		transfer->unnamed = true;
 		return false;
-	counter_add(&stray_count, 1);
+	}
 	return true;
 }
 
@@ -150,7 +158,8 @@
 	if (transfer->head.invalid)
 		return -1;
 	transfer->status = parser->status_code;
-	transfer->skipping = is_to_skip(transfer);
+	if (!check_owner(transfer))
+		return -1;
 	transfer->delimited = is_delimited(transfer, parser);
 	parser->upgrade = 0;
 	/* The client never requests a protocol upgrade. */
@@ -229,11 +238,13 @@
 static void finish_answer(struct client_conn *conn, size_t excess_size)
 {
 	struct http_transfer *transfer = conn->transfer;
-	bool reusable = transfer->keep_alive &&
-			!transfer->needs_new_connection && !excess_size &&
-			transfer->delimited && !buffer_size(&transfer->out) &&
-			!transfer->write_failed &&
-			!carried_is_full(&conn->carried, now(conn));
+	bool reusable =
+		transfer->keep_alive && !transfer->needs_new_connection &&
+		!excess_size &&
+		(!transfer->echo_header || answer_names_request(transfer)) &&
+		transfer->delimited && !buffer_size(&transfer->out) &&
+		!transfer->write_failed &&
+		!carried_is_full(&conn->carried, now(conn));
 
 	conn->keep_alive_us = reusable ? parse_keep_alive_us(transfer) : 0;
 	if (conn->keep_alive_us > 0)
@@ -301,6 +312,11 @@
 			     "answer has a malformed header field");
 			return false;
 		}
+		if (transfer->unnamed) {
+			fail(conn, ERROR_PROTOCOL,
+			     "answer does not name its request");
+			return false;
+		}
 		if (code != HPE_OK && code != HPE_PAUSED) {
 			fail(conn, ERROR_PROTOCOL,
 			     http_errno_description(code));
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -62,6 +62,8 @@
  * @meter: bounds of the answer
  * @in_head: whether the head of an answer is being parsed
  * @skipping: whether the present answer is skipped
+ * @unnamed: whether the present answer does not name its request though its
+ *	connection has carried others
  * @head_deadline_us: monotonic time limit for the rest of a head that came in
  *	part, in microseconds; 0 for none
  * @complete: whether the answer is complete
@@ -96,6 +98,7 @@
 	struct answer_meter meter;
 	bool in_head;
 	bool skipping;
+	bool unnamed;
 	int64_t head_deadline_us;
 	bool complete;
 	bool delimited;
--- a/src/http/extra_answer_test.c
+++ b/src/http/extra_answer_test.c
@@ -21,15 +21,42 @@
 	const char *name;
 	const char *ids[REQUESTS_MAX];
 	uint32_t connections; /* expected */
+	bool unnamed_answers; /* the answers do not repeat the ID */
+	bool unnamed_copies;
+	const char *lost; /* ID of a request that gets no answer */
 };
 
 static const struct schedule schedules[] = {
-	{ "other requests", { "1", "2", "3" }, 1 },
-	{ "a second attempt", { "1", "1" }, 2 },
-	{ "a third attempt", { "1", "1", "1" }, 3 },
-	{ "a second attempt after another request", { "1", "2", "1" }, 2 },
-	{ "attempts at two requests by turns", { "1", "2", "1", "2" }, 2 },
-	{ "the same ID for all requests", { "1", "1", "1", "1" }, 4 },
+	{ .name = "other requests", .ids = { "1", "2", "3" }, .connections = 1 },
+	{ .name = "a second attempt", .ids = { "1", "1" }, .connections = 2 },
+	{ .name = "a third attempt",
+	  .ids = { "1", "1", "1" },
+	  .connections = 3 },
+	{ .name = "a second attempt after another request",
+	  .ids = { "1", "2", "1" },
+	  .connections = 2 },
+	{ .name = "attempts at two requests by turns",
+	  .ids = { "1", "2", "1", "2" },
+	  .connections = 2 },
+	{ .name = "the same ID for all requests",
+	  .ids = { "1", "1", "1", "1" },
+	  .connections = 4 },
+};
+
+static const struct schedule unnamed_schedules[] = {
+	{ .name = "each first on its connection",
+	  .ids = { "1", "2", "3" },
+	  .connections = 3,
+	  .unnamed_answers = true,
+	  .unnamed_copies = true },
+	{ .name = "a copy before the answer to a later request",
+	  .ids = { "1", "2", "3" },
+	  .connections = 2,
+	  .unnamed_copies = true,
+	  .lost = "2" },
+	{ .name = "requests without an ID",
+	  .ids = { "1", "-", "2" },
+	  .connections = 2 },
 };
 
 struct fake_server {
@@ -38,10 +65,12 @@
 	char copies[CONNS_MAX][256];
 	uint32_t connections;
 	uint32_t answered;
+	const struct schedule *schedule;
 };
 
 struct outcome {
 	bool completed;
+	enum http_delivery delivery;
 	unsigned int status;
 	char attempt[16];
 };
@@ -55,25 +84,32 @@
 	const char *attempt = http_answer_header(answer, "X-Attempt");
 
 	outcome->completed = true;
+	outcome->delivery = answer->delivery;
 	outcome->status = answer->status;
 	snprintf(outcome->attempt, sizeof(outcome->attempt), "%s",
 		 attempt ? attempt : "none");
 }
 
+static void write_answer(char text[256], const char *id, bool named)
+{
+	snprintf(text, 256,
+		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n%s%.1s\r\n"
+		 "X-Attempt: %u\r\n\r\n",
+		 named ? "X-Id: " : "X-Other: ", id, server.answered);
+}
+
 static void serve_request(uint32_t i, const char *head)
 {
-	const char *id = strstr(head, "X-Id: ");
+	const char *field = strstr(head, "X-Id: ");
+	const char *id = field ? field + strlen("X-Id: ") : "-";
 	char text[256];
 
-	cr_assert_not_null(id);
-	snprintf(text, sizeof(text),
-		 "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: %.1s\r\n"
-		 "X-Attempt: %u\r\n\r\n",
-		 id + strlen("X-Id: "), server.answered++);
 	send(server.fds[i], server.copies[i], strlen(server.copies[i]),
 	     MSG_NOSIGNAL);
+	write_answer(text, id, !server.schedule->unnamed_answers);
 	send(server.fds[i], text, strlen(text), MSG_NOSIGNAL);
-	memcpy(server.copies[i], text, sizeof(text));
+	write_answer(server.copies[i], id, !server.schedule->unnamed_copies);
+	server.answered++;
 }
 
 static void serve(void)
@@ -101,7 +137,7 @@
 		.method = "POST",
 		.url = url,
 		.headers = headers,
-		.header_count = 1,
+		.header_count = strcmp(id, "-") != 0,
 		.timeout_ms = 5000,
 		.max_answer_bytes = 100,
 		.echo_header = "X-Id",
@@ -130,6 +166,7 @@
 	uint32_t i;
 
 	memset(&server, 0, sizeof(server));
+	server.schedule = schedule;
 	cr_assert(loop_init(&loop, &err));
 	address_parse("127.0.0.1:0", &address, &err);
 	server.listen_fd = net_listen(&address, &err);
@@ -139,6 +176,12 @@
 	for (i = 0; i < REQUESTS_MAX && schedule->ids[i]; i++) {
 		struct outcome outcome = ask(&client, url, schedule->ids[i]);
 
+		if (schedule->lost &&
+		    !strcmp(schedule->ids[i], schedule->lost)) {
+			cr_expect_eq(outcome.delivery, HTTP_MAY_BE_SENT, "%s",
+				     schedule->name);
+			continue;
+		}
 		snprintf(wanted, sizeof(wanted), "%u", i);
 		cr_expect_eq(outcome.status, 200, "%s", schedule->name);
 		cr_expect_str_eq(outcome.attempt, wanted,
@@ -146,8 +189,8 @@
 				 i, outcome.attempt);
 	}
 	DL_COUNT(client.idle, idle, idle_count);
-	cr_expect_eq(idle_count, 1, "%s: %d idle connections", schedule->name,
-		     idle_count);
+	cr_expect_eq(idle_count, !schedule->unnamed_answers,
+		     "%s: %d idle connections", schedule->name, idle_count);
 	cr_expect_eq(server.connections, schedule->connections,
 		     "%s: %u connections", schedule->name, server.connections);
 	http_client_finish(&client);
@@ -167,3 +210,14 @@
 	for (i = 0; i < COUNT(schedules); i++)
 		play(&schedules[i]);
 }
+
+/* Guards against an answer to another request that is taken for the own one,
+ * because it does not name the request that it belongs to. */
+Test(extra_answer, without_an_id_counts_on_a_new_connection_only)
+{
+	size_t i;
+
+	apr_initialize();
+	for (i = 0; i < COUNT(unnamed_schedules); i++)
+		play(&unnamed_schedules[i]);
+}
--- a/src/http/framing_client_test.c
+++ b/src/http/framing_client_test.c
@@ -160,18 +160,22 @@
      .fini = teardown)
 {
 	static const struct script scripts[] = {
-		{ "whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+		{ "whole",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
 		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "whole, without the ID",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
 		{ "chunks",
 		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
-		  "\r\n2\r\nhi\r\n0\r\n\r\n",
+		  "X-Id: 7\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
 		{ "a last one",
-		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 7\r\n"
 		  "Connection: close\r\n\r\nhi",
 		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
 		{ "kept for no time",
-		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 7\r\n"
 		  "Keep-Alive: timeout=0\r\n\r\nhi",
 		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
 		{ "no length", "HTTP/1.1 200 OK\r\n\r\nhi", HTTP_ANSWERED, 200,
@@ -191,7 +195,7 @@
 		{ "rubbish", "what is this\r\n\r\n", HTTP_MAY_BE_SENT, 0, "",
 		  false, false, false, false },
 		{ "bytes behind",
-		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\n"
 		  "hiHTTP/1.1 200 OK\r\n",
 		  HTTP_ANSWERED, 200, "hi", false, false, true, false },
 		{ "a second answer",
@@ -215,7 +219,7 @@
 		  HTTP_MAY_BE_SENT, 0, "", true, false, false, false },
 		{ "information first",
 		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
-		  "Content-Length: 0\r\n\r\n",
+		  "Content-Length: 0\r\nX-Id: 7\r\n\r\n",
 		  HTTP_ANSWERED, 201, "", false, false, true, true },
 		{ "too large",
 		  "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n"
@@ -226,7 +230,7 @@
 		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 		  "Content-Length: 3\r\n\r\nhi",
 		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
-		{ "no content", "HTTP/1.1 204 No Content\r\n\r\n",
+		{ "no content", "HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n",
 		  HTTP_ANSWERED, 204, "", false, false, true, true },
 	};
 	struct http_client client;
--- a/test/functional/promise_test.c
+++ b/test/functional/promise_test.c
@@ -68,6 +68,8 @@
 	{ "rejections with 503", "{" REJECTS ",\"reject_status\":503}", NOTHING,
 	  20 },
 	{ "answers sent again", "{" REJECTS_AND_REPEATS "}", NOTHING, 20 },
+	{ "answers without the ID of their request",
+	  "{" REJECTS_AND_REPEATS ",\"unnamed\":0.3}", NOTHING, 20 },
 	{ "answers lost after the run", "{" REJECTS ",\"lose\":0.2}", NOTHING,
 	  20 },
 	{ "another incarnation at the address", "{" REJECTS_AND_REPEATS "}",
