http: the last requests of a connection count beyond their time

Callers could be told that an unsafe request had not run although it ran: an attempt that reaches a paused process more than a second after the deadline of the first attempt used a connection that had carried its request, and a copy of the first attempt's rejection, still due there, was taken for its answer.

A connection forgot a request one second after its deadline, though an extra answer is due before the next answer on the connection, however late that is. Now the last eight requests of a connection count without regard to time; CARRIED_LAST bounds only them, so no connection is closed earlier.

carried/the_last_requests_are_known_beyond_their_time failed before; carried/a_request_is_known_until_its_time_ends now adds eight later requests, behind which its expectations hold as they were.

--- a/src/http/carried.c
+++ b/src/http/carried.c
@@ -46,7 +46,8 @@
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		if (entries[i].hash == hash && entries[i].until_us > now_us)
+		if (entries[i].hash == hash &&
+		    (entries[i].until_us > now_us || i + CARRIED_LAST >= count))
 			return true;
 	return false;
 }
@@ -57,7 +58,8 @@
 	const struct carried_entry *entries = entries_of(carried, &count);
 	size_t ended = 0;
 
-	while (ended < count && entries[ended].until_us <= now_us)
+	while (ended + CARRIED_LAST < count &&
+	       entries[ended].until_us <= now_us)
 		ended++;
 	buffer_consume(&carried->entries, ended * sizeof(*entries));
 	return count - ended >= CARRIED_MAX;
--- a/src/http/carried.h
+++ b/src/http/carried.h
@@ -20,6 +20,9 @@
 	/* A connection that has carried more requests than this, all of which
 	 * may still be repeated, is not reused. */
 	CARRIED_MAX = 256,
+	/* Number of the latest requests that count beyond their time: a copy
+	 * is due before one of the next answers, however late these are. */
+	CARRIED_LAST = 8,
 };
 
 /**
