soak: the target platform's interface, with answers rejected, repeated, unnamed and lost

Every third seed plays the interface that the users run: metadata store, heartbeats, 421 for another incarnation, X-Deadline-Ms, routes by host. Upstreams reject with 429 and 503, send answers again where the next answer is expected, leave the ID out, lose answers after the run and are replaced by another incarnation, over nodes that are paused, killed, stopped, reloaded and cut off. A new check fails a run in which a request that may run once was answered 408, 421, 429 or 503 and has run by the stand-ins' own count.

The seeds in soak/seeds.txt play as before.

--- a/soak/checks.c
+++ b/soak/checks.c
@@ -179,6 +179,8 @@
 		   "no non-idempotent request runs twice");
 	bench_must(!audit.false_not_run,
 		   "no request reported as not run has run");
+	bench_must(!audit.false_promises,
+		   "no request that was refused by its status has run");
 	bench_must(!audit.answered_not_run, "every answered request has run");
 	check_planned(soak, stats);
 	print_counts(soak);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -401,6 +401,7 @@
 
 	memset(soak->series, 0, sizeof(soak->series));
 	soak_end_upstream_faults(soak);
+	soak_end_answer_faults(soak);
 	while (ok && !all_running(soak)) {
 		soak->step++;
 		load_run(&soak->load, SOAK_STEP_MS);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,8 +10,10 @@
  * usage: soak BUILD [FIRST_SEED [SEEDS [STEPS [NODES [FILE]]]]]
  *
  * FILE holds seeds that are run first, one "SEED STEPS NODES
- * [upstreams|tenants]" a line; "upstreams" adds the faults of upstreams that
- * other seeds have, and "tenants" these and the tenants. A line that begins
+ * [upstreams|tenants|target]" a line; "upstreams" adds the faults of upstreams
+ * that other seeds have, "tenants" these and the tenants, and "target" replaces
+ * both by the interface of the target platform. Of the seeds on the command
+ * line, every third one is played so. A line that begins
  * with "#" is a comment. A seed always draws the same faults. Which of these
  * faults are injected depends on the state of the nodes at that time.
  */
@@ -52,6 +54,18 @@
 					    .deadline_ms = SOAK_DEADLINE_MS };
 }
 
+/* Routes of the target platform have prefixes that end with a slash. */
+static void use_target_platform(struct load_options *options)
+{
+	uint32_t i;
+
+	options->deadline_field = "X-Deadline-Ms";
+	for (i = 0; i < options->kind_count; i++)
+		options->kinds[i].path = options->kinds[i].non_idempotent
+						 ? "/seal/1"
+						 : "/read/1";
+}
+
 static bool start_load(struct soak *soak, uint64_t seed)
 {
 	static const struct load_kind kinds[] = {
@@ -111,6 +125,8 @@
 
 	memcpy(options.kinds, kinds, sizeof(kinds));
 	options.kind_count = sizeof(kinds) / sizeof(kinds[0]);
+	if (soak->target_platform)
+		use_target_platform(&options);
 	if (soak->upstream_faults)
 		add_crashing_kinds(&options);
 	if (soak->tenants.on)
@@ -132,6 +148,7 @@
 		if (!random_below(&soak->random, FAULT_INTERVAL_STEPS))
 			soak_inject_fault(soak);
 		soak_disturb_upstreams(soak);
+		soak_disturb_answers(soak);
 		soak_continue_series(soak);
 		soak_count_forgotten(soak);
 		ok = soak_end_faults(soak);
@@ -201,6 +218,20 @@
 {
 	uint64_t version;
 
+	if (soak->target_platform) {
+		version = soak_write_document(soak);
+		return bench_must(
+			version &&
+				cluster_wait_members(&soak->cluster,
+						     soak->count,
+						     SOAK_CONVERGE_MS) &&
+				cluster_wait_version(&soak->cluster, -1,
+						     version,
+						     SOAK_CONVERGE_MS) &&
+				cluster_wait_routes(&soak->cluster,
+						    SOAK_CONVERGE_MS),
+			"the first version is in force on all nodes");
+	}
 	if (!bench_must(bench_begin(&soak->cluster, soak->count),
 			"the first version is in force on all nodes"))
 		return false;
@@ -214,7 +245,12 @@
 }
 
 /** enum extras - what a seed has besides the faults of nodes. */
-enum extras { EXTRAS_NONE, EXTRAS_UPSTREAMS, EXTRAS_TENANTS };
+enum extras {
+	EXTRAS_NONE,
+	EXTRAS_UPSTREAMS,
+	EXTRAS_TENANTS,
+	EXTRAS_TARGET, /* the target platform and faults of answers alone */
+};
 
 static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes,
 		     enum extras extras)
@@ -228,6 +264,7 @@
 		.services = { "seal-desk" },
 		.profile = "default",
 		.settings = settings,
+		.target_platform = extras == EXTRAS_TARGET,
 		.upstream_args = { "--service-us", "10000", "--spread",
 				   "exponential", "--down-ms", down_ms },
 	};
@@ -238,8 +275,10 @@
 	fflush(stdout);
 	memset(&soak, 0, sizeof(soak));
 	soak.count = nodes;
-	soak.upstream_faults = extras >= EXTRAS_UPSTREAMS;
-	soak.tenants.on = extras >= EXTRAS_TENANTS;
+	soak.target_platform = extras == EXTRAS_TARGET;
+	soak.upstream_faults = extras == EXTRAS_UPSTREAMS ||
+			       extras == EXTRAS_TENANTS;
+	soak.tenants.on = extras == EXTRAS_TENANTS;
 	random_init(&soak.random, seed);
 	random_init(&soak.upstream_random, ~seed);
 	snprintf(down_ms, sizeof(down_ms), "%d", SOAK_DOWN_MS);
@@ -269,6 +308,8 @@
 		*extras = EXTRAS_UPSTREAMS;
 	else if (!strcmp(word, "tenants"))
 		*extras = EXTRAS_TENANTS;
+	else if (!strcmp(word, "target"))
+		*extras = EXTRAS_TARGET;
 	return !*word || *extras;
 }
 
@@ -286,7 +327,7 @@
 	count = sscanf(line, "%llu %u %u %15s", &seed, &steps, &nodes, word);
 	if (bench_must(count >= 3 && parse_extras(word, &extras),
 		       "each line of the seed file is \"SEED STEPS NODES "
-		       "[upstreams|tenants]\"") &&
+		       "[upstreams|tenants|target]\"") &&
 	    check_node_count(nodes))
 		run_seed(seed, steps, nodes, extras);
 }
@@ -315,6 +356,7 @@
 	if (argc > 6)
 		run_file(argv[6]);
 	for (i = 0; check_node_count(nodes) && i < seeds; i++)
-		run_seed(seed + i, steps, nodes, EXTRAS_TENANTS);
+		run_seed(seed + i, steps, nodes,
+			 (seed + i) % 3 ? EXTRAS_TENANTS : EXTRAS_TARGET);
 	return bench_status();
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -150,6 +150,9 @@
  * @upstream_faults: requests crash upstreams, and upstreams name limits and tell
  *	their leaving in answers; drawn from @upstream_random, so that seeds
  *	without these faults draw the same other faults as ever
+ * @target_platform: all use the interface of the target platform, and upstreams
+ *	reject, repeat and lose answers; drawn from @upstream_random
+ * @document_version: version written last, with @target_platform
  * @leaving_until: by upstream: step at which an upstream that told its leaving
  *	ends; 0: it has not told it
  * @none_runs: no node was running at the last step
@@ -176,6 +179,8 @@
 	bool tolerates_silence;
 	bool upstream_faults;
 	struct random upstream_random;
+	bool target_platform;
+	uint64_t document_version;
 	uint32_t leaving_until[SOAK_NODES_MAX];
 	bool none_runs;
 	uint32_t forgotten;
@@ -198,6 +203,15 @@
 /** soak_disturb_upstreams() - draws a fault of an upstream and injects it. */
 void soak_disturb_upstreams(struct soak *soak);
 
+/** soak_write_document() - writes a version of the target platform, or 0. */
+uint64_t soak_write_document(struct soak *soak);
+
+/** soak_disturb_answers() - draws a fault of the answers of an upstream. */
+void soak_disturb_answers(struct soak *soak);
+
+/** soak_end_answer_faults() - ends the faults of all answers. */
+void soak_end_answer_faults(struct soak *soak);
+
 /** soak_count_forgotten() - notes at each step whether any node is running. */
 void soak_count_forgotten(struct soak *soak);
 
--- a/soak/tenants.c
+++ b/soak/tenants.c
@@ -71,6 +71,8 @@
 
 const char *soak_public_path(const struct soak *soak)
 {
+	if (soak->target_platform)
+		return "/read/1";
 	return soak->tenants.on ? public_path : "/read";
 }
 
@@ -157,6 +159,8 @@
 	struct soak_tenants *tenants = &soak->tenants;
 	uint64_t version;
 
+	if (soak->target_platform)
+		return soak_write_document(soak);
 	if (!tenants->on)
 		return cluster_accept(&soak->cluster, i, "default",
 				      bench_profile(soak->step));
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -663,6 +663,7 @@
 	struct upstream *upstream = data;
 	struct error err = ERROR_INIT;
 
+	upstream->start++;
 	upstream->faults.rate_limit[0] = '\0';
 	upstream->faults.leaving = 0;
 	memset(&upstream->arrivals, 0, sizeof(upstream->arrivals));
