spread: model of readers that end while they hand a version on

No fault found in the product.

Routes, tenants and limits are bodies of the same version; a roll-out record and an order of a roll-out are one value each, so none of them comes in parts.

--- a/src/spread/peers_test.c
+++ b/src/spread/peers_test.c
@@ -46,24 +46,36 @@
 
 static void drain_spread(struct mesh *m, uint32_t at);
 
-void peers_read(uint32_t at)
+void peers_read_part(uint32_t at, int bodies)
 {
 	struct keeper *keeper = &peers[at].keeper;
 	struct error err = ERROR_INIT;
 	char text[TEXT_SIZE];
 	size_t size;
-	uint8_t *bytes = head_encode(&platform, &size);
+	uint8_t *head = head_encode(&platform, &size);
+	enum keeper_offer_result result =
+		keeper_offer_head(keeper, head, size, &err);
 	int i;
 
-	keeper_offer_head(keeper, bytes, size, &err);
-	free(bytes);
-	for (i = 0; i < text_count && keeper_pending_version(keeper); i++) {
+	free(head);
+	/* The reader offers bodies only if the head needs them. */
+	for (i = 0; i < text_count && bodies && result == KEEPER_INCOMPLETE &&
+		    keeper_pending_version(keeper);
+	     i++) {
+		uint32_t missing = keeper->missing_count;
+
 		text_of(texts[i], text);
 		keeper_offer_body(keeper, text, strlen(text), &err);
+		bodies -= keeper->missing_count != missing;
 	}
 	drain_spread(&mesh, at);
 }
 
+void peers_read(uint32_t at)
+{
+	peers_read_part(at, INT32_MAX);
+}
+
 static void on_changed(struct config *config, void *data)
 {
 	struct peer *peer = data;
--- a/src/spread/peers_test.h
+++ b/src/spread/peers_test.h
@@ -46,6 +46,12 @@
 /** peers_read() - node @at reads the head and missing bodies. */
 void peers_read(uint32_t at);
 
+/**
+ * peers_read_part() - node @at reads the head and some of the missing bodies
+ * @bodies: most bodies that are read before the reader ends or is replaced
+ */
+void peers_read_part(uint32_t at, int bodies);
+
 /** peers_all_at() - true if @version is in force on all running nodes. */
 bool peers_all_at(uint64_t version);
 
