--- a/soak/target.c
+++ b/soak/target.c
@@ -48,6 +48,8 @@
 		"{\"again\":0,\"unnamed\":0}",
 		"{\"lose\":0.2}",
 		"{\"lose\":0}",
+		"{\"unavailable\":0.2}",
+		"{\"unavailable\":0}",
 		"{\"replace\":true}",
 	};
 	uint32_t turn;
@@ -69,5 +71,5 @@
 	for (i = 0; soak->target_platform && i < soak->count; i++)
 		soak_post_upstream(soak, i,
 				   "{\"reject\":0,\"again\":0,\"unnamed\":0,"
-				   "\"lose\":0}");
+				   "\"lose\":0,\"unavailable\":0}");
 }
--- a/test/functional/promise_test.c
+++ b/test/functional/promise_test.c
@@ -44,6 +44,7 @@
 	UPSTREAM_REPLACED, /* by another incarnation at its address */
 	BESIDE_KILLED,
 	BESIDE_STOPPED, /* by SIGTERM */
+	CALLER_STOPPED,
 	BOTH_RELOADED,
 	CONNECTIONS_STALLED,
 };
@@ -72,6 +73,8 @@
 	  "{" REJECTS_AND_REPEATS ",\"unnamed\":0.3}", NOTHING, 20 },
 	{ "answers lost after the run", "{" REJECTS ",\"lose\":0.2}", NOTHING,
 	  20 },
+	{ "run and answered 503 without proof",
+	  "{" REJECTS ",\"unavailable\":0.2}", NOTHING, 20 },
 	{ "another incarnation at the address", "{" REJECTS_AND_REPEATS "}",
 	  UPSTREAM_REPLACED, 20 },
 	{ "the node beside the upstream paused", "{" REJECTS_AND_REPEATS "}",
@@ -85,6 +88,8 @@
 	  "{" REJECTS_AND_REPEATS ",\"lose\":0.1}", BESIDE_KILLED, 5 },
 	{ "the node beside the upstream stopped", "{" REJECTS_AND_REPEATS "}",
 	  BESIDE_STOPPED, 5 },
+	{ "the caller's node stopped", "{" REJECTS_AND_REPEATS "}",
+	  CALLER_STOPPED, 5 },
 	{ "both nodes reloaded", "{" REJECTS_AND_REPEATS "}", BOTH_RELOADED,
 	  20 },
 	{ "connections between the nodes stalled",
@@ -103,7 +108,7 @@
 
 static const char no_faults[] =
 	"{\"reject\":0,\"reject_status\":429,\"again\":0,\"unnamed\":0,"
-	"\"lose\":0}";
+	"\"lose\":0,\"unavailable\":0}";
 
 static const char document[] =
 	"{\"version\":\"r1\",\"routes\":{\"r-1\":{\"host\":\"h.example\","
@@ -224,6 +229,16 @@
 	process_signal(process, SIGCONT);
 }
 
+static void stop_and_start(struct load *load, uint32_t node)
+{
+	struct process *process = &cluster.nodes[node].process;
+
+	process_signal(process, SIGTERM);
+	load_run(load, DISTURBED_MS);
+	process_kill(process);
+	cr_assert(cluster_start_node(&cluster, node));
+}
+
 static void disturb(struct load *load, enum disturbed disturbed)
 {
 	struct cluster_node *beside = &cluster.nodes[BESIDE];
@@ -253,10 +268,10 @@
 		cr_assert(cluster_start_node(&cluster, BESIDE));
 		break;
 	case BESIDE_STOPPED:
-		process_signal(&beside->process, SIGTERM);
-		load_run(load, DISTURBED_MS);
-		process_kill(&beside->process);
-		cr_assert(cluster_start_node(&cluster, BESIDE));
+		stop_and_start(load, BESIDE);
+		break;
+	case CALLER_STOPPED:
+		stop_and_start(load, CALLER);
 		break;
 	case BOTH_RELOADED:
 		signal_both(SIGHUP);
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -61,6 +61,8 @@
  *	answer on their connection
  * @unnamed: share of the answers without the ID of their request
  * @lose: share of the requests that run and whose connection is then closed
+ * @unavailable: share of the requests that run and are answered with 503
+ *	without proof, as if a call of their own had been refused
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
  */
@@ -83,6 +85,7 @@
 	double again;
 	double unnamed;
 	double lose;
+	double unavailable;
 	double load;
 };
 
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -201,6 +201,17 @@
 	free(body);
 }
 
+static void reply_unavailable(struct upstream_job *job)
+{
+	const struct http_header headers[] = {
+		{ "X-Request-Id", job->id },
+		{ "X-Response-Stamp", job->id },
+	};
+
+	send_answer(job->upstream, job->exchange, STATUS_UNAVAILABLE, headers,
+		    sizeof(headers) / sizeof(headers[0]), "", 0);
+}
+
 static void free_jobs(struct upstream *upstream)
 {
 	struct upstream_job *job;
@@ -238,6 +249,8 @@
 		http_exchange_close(job->exchange);
 	} else if (draw(upstream, upstream->faults.lose)) {
 		http_exchange_close(job->exchange);
+	} else if (draw(upstream, upstream->faults.unavailable)) {
+		reply_unavailable(job);
 	} else {
 		reply_to_job(job);
 	}
@@ -518,6 +531,7 @@
 		{ "again", NULL, &faults->again },
 		{ "unnamed", NULL, &faults->unnamed },
 		{ "lose", NULL, &faults->lose },
+		{ "unavailable", NULL, &faults->unavailable },
 		{ "load", NULL, &faults->load },
 	};
 	size_t i;
