soak: sockets with small buffers, up to 68 nodes, requests whose promise was broken

In half of the target platform's seeds the buffers of the upstreams' sockets hold 4 KiB, and requests and answers have some KB, so that they are taken in parts. Seeds run with up to 68 nodes, 140 processes. A seed that breaks a promise prints the requests, for explain.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	$(BUILD)/demo $(BUILD)
 
 # SEED is the first schedule of faults, SEEDS the number of schedules, STEPS the
-# length of each part in steps of 50 ms, NODES the number of nodes (4 to 48),
+# length of each part in steps of 50 ms, NODES the number of nodes (4 to 68),
 # each with an upstream. The schedules in the file FAILED run first.
 SEED ?= 1
 SEEDS ?= 2
--- a/soak/checks.c
+++ b/soak/checks.c
@@ -107,6 +107,28 @@
 				     : "abandoned before its deadline");
 }
 
+/* Prints the requests that were refused and ran, or that ran twice. The way of
+ * each over all nodes is in the logs: geraniumplank explain ID LOGS. */
+static void print_broken(const struct soak *soak, json_t *const stats[])
+{
+	uint32_t printed = 0;
+	uint32_t i;
+
+	for (i = 0; i < soak->load.count && printed < PRINTED_MAX; i++) {
+		const struct load_record *record = &soak->load.records[i];
+		const struct load_kind *kind =
+			&soak->load.options.kinds[record->kind];
+		uint32_t runs = load_runs(&soak->load, i, stats, soak->count);
+		bool refused = load_is_false_promise(&soak->load, i, runs);
+
+		if (!refused && (!kind->non_idempotent || runs < 2))
+			continue;
+		print_record(soak, i,
+			     refused ? "refused and ran" : "ran twice");
+		printed++;
+	}
+}
+
 static void check_planned(const struct soak *soak, json_t *const stats[])
 {
 	struct planned planned = { 0 };
@@ -175,6 +197,8 @@
 			   "the statistics of an upstream can be read");
 	}
 	load_check(&soak->load, stats, soak->count, &audit);
+	if (audit.duplicate_runs || audit.false_promises)
+		print_broken(soak, stats);
 	bench_must(!audit.duplicate_runs,
 		   "no non-idempotent request runs twice");
 	bench_must(!audit.false_not_run,
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -32,6 +32,9 @@
 	KEEPALIVE_GAP_PER_NODE_MS = 5,
 	IN_FLIGHT_MAX = 4000,
 	SETTINGS_SIZE = 256,
+	/* Bodies and buffers of the target platform's seeds. */
+	TARGET_BODY_BYTES = 6000,
+	SMALL_BUFFER_BYTES = 4096,
 	LINE_SIZE = 256,
 	NUMBER_SIZE = 16,
 };
@@ -60,10 +63,14 @@
 	uint32_t i;
 
 	options->deadline_field = "X-Deadline-Ms";
-	for (i = 0; i < options->kind_count; i++)
-		options->kinds[i].path = options->kinds[i].non_idempotent
-						 ? "/seal/1"
-						 : "/read/1";
+	for (i = 0; i < options->kind_count; i++) {
+		struct load_kind *kind = &options->kinds[i];
+
+		kind->path = kind->non_idempotent ? "/seal/1?bytes=4000"
+						  : "/read/1?bytes=12000";
+		if (kind->body_bytes)
+			kind->body_bytes = TARGET_BODY_BYTES;
+	}
 }
 
 static bool start_load(struct soak *soak, uint64_t seed)
@@ -258,6 +265,8 @@
 	static struct soak soak;
 	char settings[SETTINGS_SIZE];
 	char down_ms[NUMBER_SIZE];
+	char buffer_bytes[NUMBER_SIZE];
+	bool small_buffers = extras == EXTRAS_TARGET && seed / 6 % 2;
 	const struct cluster_options options = {
 		.centres = SOAK_CENTRES,
 		.nodes = nodes,
@@ -266,7 +275,8 @@
 		.settings = settings,
 		.target_platform = extras == EXTRAS_TARGET,
 		.upstream_args = { "--service-us", "10000", "--spread",
-				   "exponential", "--down-ms", down_ms },
+				   "exponential", "--down-ms", down_ms,
+				   "--buffer-bytes", buffer_bytes },
 	};
 	struct cluster_options few = options;
 	bool failed_before = bench_status() != 0;
@@ -283,6 +293,8 @@
 	random_init(&soak.random, seed);
 	random_init(&soak.upstream_random, ~seed);
 	snprintf(down_ms, sizeof(down_ms), "%d", SOAK_DOWN_MS);
+	snprintf(buffer_bytes, sizeof(buffer_bytes), "%d",
+		 small_buffers ? SMALL_BUFFER_BYTES : 0);
 	write_settings(&soak, seed, settings);
 	/* With few upstreams, a further attempt often meets the one that the
 	 * first attempt was sent to. */
@@ -305,7 +317,7 @@
 static bool check_node_count(uint32_t nodes)
 {
 	return bench_must(nodes >= SOAK_NODES_MIN && nodes <= SOAK_NODES_MAX,
-			  "the number of nodes is between 4 and 48");
+			  "the number of nodes is between 4 and 68");
 }
 
 static bool parse_extras(const char *word, enum extras *extras)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -24,8 +24,8 @@
 enum {
 	SOAK_CENTRES = 2,
 	SOAK_NODES_MIN = 4,
-	/* With the upstreams and the platform about 100 processes. */
-	SOAK_NODES_MAX = 48,
+	/* With the upstreams and the platform about 140 processes. */
+	SOAK_NODES_MAX = 68,
 	SOAK_STEP_MS = 50,
 	/* Longest deadline of a request. A stopping node drains for at least
 	 * this time plus the time in which the answer reaches the caller, so
--- a/test/fleet/load.c
+++ b/test/fleet/load.c
@@ -412,6 +412,15 @@
 	       status == STATUS_TOO_MANY || status == STATUS_UNAVAILABLE;
 }
 
+bool load_is_false_promise(const struct load *load, uint32_t record,
+			   uint32_t runs)
+{
+	const struct load_record *checked = &load->records[record];
+
+	return load->options.kinds[checked->kind].non_idempotent && runs &&
+	       promises_not_run(checked->status);
+}
+
 void load_check(const struct load *load, json_t *const stats[],
 		uint32_t stats_count, struct load_audit *audit)
 {
@@ -425,8 +434,7 @@
 		if (load->options.kinds[record->kind].non_idempotent &&
 		    runs > 1)
 			audit->duplicate_runs++;
-		if (load->options.kinds[record->kind].non_idempotent && runs &&
-		    promises_not_run(record->status))
+		if (load_is_false_promise(load, i, runs))
 			audit->false_promises++;
 		if (record->outcome == LOAD_NOT_RUN && runs)
 			audit->false_not_run++;
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -293,6 +293,16 @@
 uint32_t load_runs(const struct load *load, uint32_t record,
 		   json_t *const stats[], uint32_t stats_count);
 
+/**
+ * load_is_false_promise() - checks a refusal against the runs
+ * @runs: number of times that the request ran
+ *
+ * Return: true if the request must run at most once, ran, and was answered with
+ * a status from which its caller concludes that it has not run.
+ */
+bool load_is_false_promise(const struct load *load, uint32_t record,
+			   uint32_t runs);
+
 /**
  * load_check() - compare the records with the runs of the upstreams
  * @stats: answer of each upstream to GET /standin/stats?list=1
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -110,6 +110,8 @@
  * @down_ms: time for which a crashed upstream accepts no connections; with 0,
  *	its process ends
  * @report_lag_ms: maximum age of the reported load
+ * @buffer_bytes: size of the buffers of its sockets, so that requests and
+ *	answers are taken in parts; 0 for the usual size
  */
 struct upstream_options {
 	const char *service;
@@ -126,6 +128,7 @@
 	int64_t leave_ms;
 	int64_t down_ms;
 	int64_t report_lag_ms;
+	int buffer_bytes;
 };
 
 struct upstream_job;
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <utlist.h>
 
 /* The output of a connection: a server sends no answer twice. */
@@ -654,6 +655,19 @@
 	return !upstream->running_count && !upstream->waiting_count;
 }
 
+/* Connections inherit the sizes from the listening socket. */
+static void set_buffers(const struct upstream *upstream)
+{
+	int size = upstream->options.buffer_bytes;
+
+	if (!size)
+		return;
+	setsockopt(upstream->server.fd, SOL_SOCKET, SO_RCVBUF, &size,
+		   sizeof(size));
+	setsockopt(upstream->server.fd, SOL_SOCKET, SO_SNDBUF, &size,
+		   sizeof(size));
+}
+
 static bool start_listening(struct upstream *upstream, struct error *err)
 {
 	struct http_server_options server = {
@@ -668,6 +682,7 @@
 	server.address.port = upstream->port;
 	if (!http_server_init(&upstream->server, upstream->loop, &server, err))
 		return false;
+	set_buffers(upstream);
 	upstream->port = http_server_address(&upstream->server)->port;
 	return true;
 }
