--- a/src/http/extra_answer_test.c
+++ b/src/http/extra_answer_test.c
@@ -66,6 +66,7 @@
 	uint32_t connections;
 	uint32_t answered;
 	const struct schedule *schedule;
+	const char *asked; /* ID of the request in progress; "-" for none */
 };
 
 struct outcome {
@@ -104,6 +105,7 @@
 	const char *id = field ? field + strlen("X-Id: ") : "-";
 	char text[256];
 
+	cr_assert_eq(field != NULL, strcmp(server.asked, "-") != 0);
 	send(server.fds[i], server.copies[i], strlen(server.copies[i]),
 	     MSG_NOSIGNAL);
 	write_answer(text, id, !server.schedule->unnamed_answers);
@@ -145,6 +147,7 @@
 	struct outcome outcome = { .completed = false };
 	int i;
 
+	server.asked = id;
 	http_client_send(client, &request, ended, &outcome);
 	for (i = 0; i < TURNS && !outcome.completed; i++) {
 		loop_turn(&loop, TURN_US);
