http, call, wire: log answers that are cut, links lost with calls, work left at the end

Callers got no whole answer around a planned stop, and the lines could not tell the four hypotheses of the incident apart: a line `call` ends with the answer known, not written, and does not say that its node was stopping; a connection to a caller that ended with a part of an answer unwritten had no line; nor had a connection between two nodes that was lost with calls on it.

No decision changes.

--- a/src/call/call_log.c
+++ b/src/call/call_log.c
@@ -42,6 +42,7 @@
 {
 	int64_t now_us = clock_monotonic_us();
 	const struct call_context *context = &call->parsed.context;
+	int64_t stopping_us = call->caller->stopping_us;
 	char content[FINGERPRINT_TEXT_SIZE];
 	const struct log_field fields[] = {
 		LOG_TEXT("request", context->request_id),
@@ -65,11 +66,12 @@
 		LOG_NUMBER("retry_tokens", (int64_t)retry_budget_available(
 						   &call->match.pool->budget)),
 		LOG_NUMBER("upstreams", call->match.pool->count),
+		LOG_NUMBER("stopping_ms", (now_us - stopping_us) / US_PER_MS),
 	};
+	size_t count = sizeof(fields) / sizeof(fields[0]);
 
 	log_request(is_ordinary(call, status) ? LOG_ORDINARY : LOG_OUTCOME,
-		    component, "call", fields,
-		    sizeof(fields) / sizeof(fields[0]));
+		    component, "call", fields, stopping_us ? count : count - 1);
 	count_time(call, call_outcome_name(end, status),
 		   now_us - call->started_us);
 }
--- a/src/call/caller.h
+++ b/src/call/caller.h
@@ -125,6 +125,7 @@
  * @tick: timer of the link checks
  * @tick_due_us: when @tick should expire
  * @push: timer for queueing further parts of request bodies
+ * @stopping_us: time at which this node was asked to stop; 0 before
  * @draining: only requests of work already in progress are taken
  * @drained: no requests are taken
  */
@@ -149,6 +150,7 @@
 	struct timer tick;
 	int64_t tick_due_us;
 	struct timer push;
+	int64_t stopping_us;
 	bool draining;
 	bool drained;
 };
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -294,6 +294,7 @@
 void calls_begin_leaving(struct calls *calls)
 {
 	calls->caller.options.end_heads = false;
+	calls->caller.stopping_us = loop_now_us(calls->options.loop);
 }
 
 void calls_drain(struct calls *calls, int64_t drain_ms)
--- a/src/call/outbound.c
+++ b/src/call/outbound.c
@@ -3,9 +3,12 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 #include "call/outbound_call.h"
 #include "os/clock.h"
 
+static const char component[] = "call";
+
 enum {
 	CONN_DATA_SLOT = FRAME_RANGE_CALL / 16,
 	PUSH_INTERVAL_US = US_PER_MS,
@@ -251,10 +254,22 @@
 	notify_calls(peer, &event);
 }
 
+static void log_lost(const struct call_peer *peer)
+{
+	const struct wire_conn *conn = peer->link.conn;
+
+	log_info(component, "link_lost", LOG_TEXT("peer", conn->peer.instance),
+		 LOG_NUMBER("calls", peer->link.outstanding),
+		 LOG_NUMBER("opened", conn->established),
+		 LOG_TEXT("reason", conn->err.text));
+}
+
 static void peer_closed(struct caller *caller, struct call_peer *peer)
 {
 	const struct attempt_event event = { .type = ATTEMPT_EVENT_CLOSED };
 
+	if (peer->link.outstanding)
+		log_lost(peer);
 	notify_calls(peer, &event);
 	DL_DELETE(caller->peers, peer);
 	free(peer);
--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -7,6 +7,7 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "http/conn_log.h"
 #include "http/target.h"
 #include "os/clock.h"
 #include "os/net.h"
@@ -121,6 +122,12 @@
 	free(conn);
 }
 
+static void end_conn(struct http_conn *conn, enum conn_end end)
+{
+	conn_log_end(conn, end);
+	conn_free(conn);
+}
+
 /* Closing the socket while the caller still sends would reset the connection
  * and could discard an answer that the caller has not received yet. */
 static void linger(struct http_conn *conn)
@@ -406,7 +413,8 @@
 		if (result == NET_AGAIN)
 			return true;
 		if (result != NET_OK) {
-			conn_free(conn);
+			end_conn(conn, result == NET_CLOSED ? CONN_END_HUNG_UP
+							    : CONN_END_RESET);
 			return false;
 		}
 		if (conn->state == CONN_OPEN)
@@ -455,7 +463,7 @@
 		if (result == NET_AGAIN)
 			break;
 		if (result != NET_OK) {
-			conn_free(conn);
+			end_conn(conn, CONN_END_WRITE_FAILED);
 			return;
 		}
 		buffer_consume(&conn->out, size);
@@ -554,7 +562,7 @@
 		refuse(conn, STATUS_TIMEOUT, "body-timeout");
 		return;
 	}
-	conn_free(conn);
+	end_conn(conn, CONN_END_IDLE);
 }
 
 static void timer_expired(struct timer *timer, void *data)
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -2,7 +2,7 @@
 
 #include "base/counter.h"
 #include "base/log.h"
-#include "http/conn.h"
+#include "http/conn_log.h"
 #include "os/net.h"
 
 enum {
@@ -102,8 +102,10 @@
 	server->stopping = true;
 	watch_stop(&server->watch);
 	net_close(server->fd);
-	while (server->conns)
+	while (server->conns) {
+		conn_log_end(server->conns, CONN_END_STOPPED);
 		conn_free(server->conns);
+	}
 	server->loop = NULL;
 }
 
--- a/src/os/net.c
+++ b/src/os/net.c
@@ -5,9 +5,11 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -299,6 +301,25 @@
 				 &options[i].value, sizeof(int));
 }
 
+static size_t queued_bytes(int fd, unsigned long request)
+{
+	int size = 0;
+
+	if (fd == NET_NONE || ioctl(fd, request, &size) < 0 || size < 0)
+		return 0;
+	return (size_t)size;
+}
+
+size_t net_undelivered_bytes(int fd)
+{
+	return queued_bytes(fd, SIOCOUTQ);
+}
+
+size_t net_unread_bytes(int fd)
+{
+	return queued_bytes(fd, FIONREAD);
+}
+
 void net_close(int fd)
 {
 	if (fd >= 0)
--- a/src/os/net.h
+++ b/src/os/net.h
@@ -112,6 +112,23 @@
  */
 void net_enable_keepalive(int fd);
 
+/**
+ * net_undelivered_bytes() - bytes written that the peer has not acknowledged
+ *
+ * Return: 0 also if the system does not tell.
+ */
+size_t net_undelivered_bytes(int fd);
+
+/**
+ * net_unread_bytes() - bytes received that have not been read
+ *
+ * Closing a connection with such bytes resets it, and the peer may lose what
+ * was written to it.
+ *
+ * Return: 0 also if the system does not tell.
+ */
+size_t net_unread_bytes(int fd);
+
 void net_close(int fd);
 
 #endif
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -4,10 +4,13 @@
 #include <utlist.h>
 
 #include "base/counter.h"
+#include "base/log.h"
 #include "os/clock.h"
 #include "os/net.h"
 #include "wire/hub_defs.h"
 
+static const char component[] = "wire";
+
 enum {
 	DEFAULT_HANDSHAKE_TIMEOUT_MS = 3000,
 	CONNS_MAX = 4096,
@@ -53,11 +56,33 @@
 	return false;
 }
 
+/* Logs what the peers may not get because this process ends. */
+static void log_left(const struct wire_hub *hub)
+{
+	const struct wire_conn *conn;
+	int64_t unwritten = 0;
+	int64_t undelivered = 0;
+	int64_t unread = 0;
+
+	DL_FOREACH(hub->conns, conn) {
+		unwritten += (int64_t)wire_conn_queued_bytes(conn);
+		undelivered += (int64_t)net_undelivered_bytes(conn->fd);
+		unread += (int64_t)net_unread_bytes(conn->fd);
+	}
+	if (unwritten || undelivered || unread)
+		log_info(component, "connections_left",
+			 LOG_NUMBER("connections", hub->conn_count),
+			 LOG_NUMBER("unwritten_bytes", unwritten),
+			 LOG_NUMBER("undelivered_bytes", undelivered),
+			 LOG_NUMBER("unread_bytes", unread));
+}
+
 void wire_hub_finish(struct wire_hub *hub)
 {
 	struct wire_conn *conn;
 	struct wire_conn *next;
 
+	log_left(hub);
 	watch_stop(&hub->listen_watch);
 	net_close(hub->listen_fd);
 	DL_FOREACH_SAFE(hub->conns, conn, next)
