call: an attempt that cannot be repeated is queried until its deadline

What callers saw: 502 peer-lost for an unsafe request that its upstream was working on, with most of its time left, when the node beside the upstream did not answer for about a second.

Cause: a connection between two nodes counts as silent after silence_ms; the caller's node then queries the attempt on new connections, four at most, and each of them ends after 150 ms or more if the node does not answer. After that it gave the request up, although it could not be sent elsewhere and nothing had shown that its node was gone. A node that is paused, or that gets a tenth of a core, is slow in just this way.

Now a query that times out is repeated, each 320 ms at most, until the deadline, unless the request may be sent elsewhere. A node that refuses connections is gone, so the limit of four stays for refused ones, and a node that was started anew says so. What a caller sees now: the answer, or 504 at its deadline in place of an early 502. It cannot use an early 502, since it must not repeat the request.

Left as it was: a request that may be repeated goes to another endpoint after the first query.

--- a/src/call/call_attempts.c
+++ b/src/call/call_attempts.c
@@ -4,10 +4,9 @@
 #include <string.h>
 
 enum {
+	/* A node that refuses this many connections is gone. */
 	QUERIES_MAX = 4,
 	QUERIES_MAX_RETRYABLE = 1,
-	/* A paused node has answered by the second query. More queries to a
-	 * dead node would only delay the verdict "may have run". */
 	QUERIES_MAX_RESUMED = 2,
 	QUERY_DELAY_US = 20 * 1000,
 	/* With less time left, an attempt cannot be answered: round trip and
@@ -218,7 +217,8 @@
 		action.delay_us = (int64_t)QUERY_DELAY_US
 				  << call_attempts->query_count;
 	call_attempts->state = ATTEMPT_QUERYING;
-	call_attempts->query_count++;
+	if (call_attempts->query_count < QUERIES_MAX)
+		call_attempts->query_count++;
 	return action;
 }
 
@@ -244,6 +244,13 @@
 	return action;
 }
 
+static bool may_try_elsewhere(const struct call_attempts *call_attempts)
+{
+	return !call_attempts->resumed && call_attempts->repeatable &&
+	       call_attempts->chain.remaining_attempts &&
+	       retry_budget_is_open(call_attempts->budget);
+}
+
 /* Returns how many connections may be opened to query the current attempt. An
  * idempotent request with an attempt and a token left is retried at another
  * endpoint soon. For any other request only the queried node can tell whether
@@ -252,18 +259,24 @@
 {
 	if (call_attempts->resumed)
 		return QUERIES_MAX_RESUMED;
-	if (call_attempts->repeatable &&
-	    call_attempts->chain.remaining_attempts &&
-	    retry_budget_is_open(call_attempts->budget))
-		return QUERIES_MAX_RETRYABLE;
-	return QUERIES_MAX;
+	return may_try_elsewhere(call_attempts) ? QUERIES_MAX_RETRYABLE
+						: QUERIES_MAX;
 }
 
-static struct attempt_action unreachable(struct call_attempts *call_attempts,
-					 int64_t now_us)
+/* Returns true if the current attempt is queried once more. A node that does
+ * not answer may be paused while its upstream runs the request: without another
+ * attempt, the answer can only come from that node, until the deadline. */
+static bool queries_again(const struct call_attempts *call_attempts,
+			  bool timed_out)
 {
-	uint32_t max = queries_max(call_attempts);
+	if (call_attempts->query_count < queries_max(call_attempts))
+		return true;
+	return timed_out && !may_try_elsewhere(call_attempts);
+}
 
+static struct attempt_action unreachable(struct call_attempts *call_attempts,
+					 bool timed_out, int64_t now_us)
+{
 	switch (call_attempts->state) {
 	case ATTEMPT_WAITING:
 		return attempt_ended(call_attempts, VERDICT_NOT_RUN,
@@ -274,7 +287,7 @@
 		return attempt_ended(call_attempts, VERDICT_MAY_HAVE_RUN,
 				     CALL_PEER_LOST, now_us);
 	case ATTEMPT_QUERYING:
-		if (call_attempts->query_count < max)
+		if (queries_again(call_attempts, timed_out))
 			return reconnect(call_attempts);
 		if (call_attempts->repeatable && !call_attempts->resumed) {
 			call_attempts->unreachable = true;
@@ -351,8 +364,9 @@
 		return attempt_ended(call_attempts, VERDICT_NOT_RUN,
 				     event->reason, now_us);
 	case ATTEMPT_EVENT_CLOSED:
+		return unreachable(call_attempts, event->timed_out, now_us);
 	case ATTEMPT_EVENT_SILENT:
-		return unreachable(call_attempts, now_us);
+		return unreachable(call_attempts, true, now_us);
 	case ATTEMPT_EVENT_ANSWERED:
 		if (!is_sent(call_attempts))
 			return nothing;
--- a/src/call/call_attempts.h
+++ b/src/call/call_attempts.h
@@ -47,6 +47,8 @@
  * @reason: why the attempt ended, for ATTEMPT_EVENT_REFUSED,
  *	ATTEMPT_EVENT_NO_ENDPOINT, ATTEMPT_EVENT_UNSENT and
  *	ATTEMPT_EVENT_GIVE_UP
+ * @timed_out: the node did not answer in time, for ATTEMPT_EVENT_CLOSED; false
+ *	if it refused or ended the connection
  * @is_final: no further attempt may be made, for ATTEMPT_EVENT_REFUSED
  * @query_result: state of the attempt at the queried node, for
  *	ATTEMPT_EVENT_QUERY_RESULT
@@ -58,6 +60,7 @@
 	uint64_t incarnation;
 	enum verdict verdict;
 	enum call_reason reason;
+	bool timed_out;
 	bool is_final;
 	enum call_query_result query_result;
 	bool error;
@@ -109,7 +112,8 @@
  * @error_seen: an earlier attempt was answered with a failure and retried
  * @may_have_left: a byte of the current attempt may have left this node
  * @incarnation: incarnation of the node that got the current attempt
- * @query_count: connections opened to query the current attempt
+ * @query_count: connections opened to query the current attempt, at most
+ *	QUERIES_MAX
  * @unreachable: an earlier attempt may still run, but its node could not be
  *	queried
  * @unreachable_incarnation: incarnation of that node
--- a/src/call/call_attempts_test.c
+++ b/src/call/call_attempts_test.c
@@ -18,6 +18,10 @@
 	{                                                                      \
 		.type = ATTEMPT_EVENT_##t                                      \
 	}
+#define TIMED_OUT                                                              \
+	{                                                                      \
+		.type = ATTEMPT_EVENT_CLOSED, .timed_out = true                \
+	}
 #define REFUSED(v, r)                                                          \
 	{                                                                      \
 		.type = ATTEMPT_EVENT_REFUSED, .verdict = (v), .reason = (r)   \
@@ -119,6 +123,34 @@
 		     { EVENT(CLOSED), ATTEMPT_FAIL } },
 	  .count = 6,
 	  .verdict = VERDICT_MAY_HAVE_RUN },
+	{ .name = "lost, the node does not answer: queried until the deadline",
+	  .steps = { { OPENED, ATTEMPT_SEND },
+		     { EVENT(SILENT), ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { EVENT(SILENT), ATTEMPT_RECONNECT },
+		     { EVENT(DEADLINE), ATTEMPT_FAIL } },
+	  .count = 8,
+	  .verdict = VERDICT_MAY_HAVE_RUN,
+	  .cancel = true },
+	{ .name = "lost, the node does not answer, then it is gone",
+	  .steps = { { OPENED, ATTEMPT_SEND },
+		     { EVENT(SILENT), ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_RECONNECT },
+		     { EVENT(CLOSED), ATTEMPT_FAIL } },
+	  .count = 7,
+	  .verdict = VERDICT_MAY_HAVE_RUN },
+	{ .name = "lost, the node does not answer, idempotent: retried",
+	  .repeatable = true,
+	  .steps = { { OPENED, ATTEMPT_SEND },
+		     { EVENT(SILENT), ATTEMPT_RECONNECT },
+		     { TIMED_OUT, ATTEMPT_TRY } },
+	  .count = 3 },
 	{ .name = "lost, without queries",
 	  .blind = true,
 	  .steps = { { OPENED, ATTEMPT_SEND },
--- a/src/call/outbound.c
+++ b/src/call/outbound.c
@@ -266,7 +266,10 @@
 
 static void peer_closed(struct caller *caller, struct call_peer *peer)
 {
-	const struct attempt_event event = { .type = ATTEMPT_EVENT_CLOSED };
+	const struct attempt_event event = {
+		.type = ATTEMPT_EVENT_CLOSED,
+		.timed_out = peer->link.conn->err.code == ERROR_TIMEOUT,
+	};
 
 	if (peer->link.outstanding)
 		log_lost(peer);
