--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -122,6 +122,28 @@
 	cr_assert_eq(upstream_run_count(&cluster, 1, "here"), 1);
 }
 
+/* Guards against 502 from a stopping node for a request that runs, while the
+ * node beside the upstream is paused for longer than the queries take. */
+Test(drain, a_stopping_node_waits_for_a_paused_node, .init = start,
+     .fini = stop, .timeout = 120)
+{
+	enum { PAUSE_MS = 2000 };
+	struct process *stopping = &cluster.nodes[0].process;
+	struct process *paused = &cluster.nodes[1].process;
+	struct background_call call;
+
+	background_begin(&call, &cluster, 0, "beta", slow_path, "one");
+	cr_assert(upstream_wait_stat(&cluster, 1, "running", 1));
+	process_signal(stopping, SIGTERM);
+	process_signal(paused, SIGSTOP);
+	sleep_ms(PAUSE_MS);
+	process_signal(paused, SIGCONT);
+	assert_completes(&call);
+	cr_assert(process_wait(stopping, WAIT_MS));
+	cr_expect_eq(stopping->exit_status, 0);
+	cr_expect_eq(upstream_run_count(&cluster, 1, "one"), 1);
+}
+
 /* Guards against a gate that closes on SIGTERM while the node still serves its
  * callers: a rolling restart then refuses calls of a healthy upstream. */
 Test(drain, a_lingering_node_still_sends_calls_to_its_upstream,
