call: an attempt is resumed itself if its retry is refused

What callers saw: 502 peer-lost for an idempotent request, with 1.6 s left and its upstream at work, while the node beside the upstream was paused.

Cause: after one query such a request goes to another endpoint. Whether the retry budget allows that is drawn by chance where the budget is shared. If it is refused, the attempt is to be resumed, but the call looked for the node of an earlier attempt that had been given up, and there was none: the request ended.

Now the current attempt goes on with its endpoint, also if that has left the routes. link/an_attempt_is_resumed_if_its_retry_is_refused failed before (502 peer-lost, 0 resumed) and passes.

--- a/src/call/call_attempts.c
+++ b/src/call/call_attempts.c
@@ -126,8 +126,12 @@
 give_up_or_resume(struct call_attempts *call_attempts, enum call_reason reason,
 		  int64_t now_us)
 {
-	const struct attempt_action resume = { .type = ATTEMPT_RESUME,
-					       .reason = reason };
+	const struct attempt_action resume = {
+		.type = ATTEMPT_RESUME,
+		.reason = reason,
+		.is_current = call_attempts->incarnation ==
+			      call_attempts->unreachable_incarnation,
+	};
 
 	if (!call_attempts->unreachable ||
 	    call_attempts->deadline_us - now_us <= ATTEMPT_TIME_MIN_US)
--- a/src/call/call_attempts.h
+++ b/src/call/call_attempts.h
@@ -83,6 +83,8 @@
  * @cancel: send a cancel for the attempt to the node beside the upstream
  * @delay_us: time in microseconds before the connection is opened, for
  *	ATTEMPT_RECONNECT
+ * @is_current: the unreachable attempt is the current one, not an earlier one,
+ *	for ATTEMPT_RESUME
  * @verdict: verdict on the whole call, for ATTEMPT_REPLY and ATTEMPT_FAIL
  * @reason: why the attempt or the call ended, for ATTEMPT_TRY,
  *	ATTEMPT_RESUME and ATTEMPT_FAIL
@@ -91,6 +93,7 @@
 	enum attempt_action_type type;
 	bool cancel;
 	int64_t delay_us;
+	bool is_current;
 	enum verdict verdict;
 	enum call_reason reason;
 };
--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "call/outbound_call.h"
 #include "call/path_test.h"
 #include "os/clock.h"
 #include "os/net.h"
@@ -330,6 +331,58 @@
 	path_teardown();
 }
 
+/* Makes the budget one that seems open and refuses the next retry. */
+static void refuse_next_retry(struct retry_budget *budget)
+{
+	uint64_t seed = 0;
+	struct random random;
+
+	do {
+		retry_budget_make_shared(budget, ++seed);
+		budget->chance = 0.5;
+		random = budget->random;
+	} while (random_share(&random) < budget->chance);
+}
+
+/* Guards against 502 for an idempotent request that runs beside a node that is
+ * paused, if the budget refuses the attempt elsewhere. */
+Test(link, an_attempt_is_resumed_if_its_retry_is_refused)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "GET",
+					      .path = "/view",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	int64_t before;
+	struct path_result *result;
+	int i;
+
+	path_setup();
+	/* The node beside the upstream does not close the connection. */
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	before = path_counter("call.resumed");
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	refuse_next_retry(&path.a.calls.caller.calls->match.pool->budget);
+	for (i = 0; i < PATH_TURNS && !result->answers &&
+		    path_counter("call.resumed") == before;
+	     i++) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_expect_eq(result->answers, 0, "%u %s", result->status,
+		     result->reason);
+	path_stall(false, false);
+	path_release("one");
+	path_wait(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	cr_expect_eq(path.upstream.ran, 1);
+	path_teardown();
+}
+
 /* Guards against 502 for a request that runs and must not be sent again, while
  * the node beside its upstream is paused for longer than the queries take. */
 Test(link, a_running_request_is_not_given_up_while_its_node_is_paused)
--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -336,11 +336,18 @@
 }
 
 /* Queries the unreachable attempt again, because no other attempt is left. */
-static void resume(struct call *call, enum call_reason reason)
+static void resume(struct call *call, const struct attempt_action *action)
 {
-	struct endpoint *endpoint = router_pick_instance(
-		call->caller->options.router, call->unreachable.instance);
+	enum call_reason reason = action->reason;
+	struct endpoint *endpoint;
 
+	if (action->is_current && call->endpoint) {
+		counter_add(&resumed, 1);
+		reconnect(call, 0);
+		return;
+	}
+	endpoint = router_pick_instance(call->caller->options.router,
+					call->unreachable.instance);
 	call_end_attempt(call, ENDPOINT_FAILED, -1,
 			 call->call_attempts.last_verdict,
 			 call_reason_name(reason));
@@ -382,7 +389,7 @@
 		retry_elsewhere(call, action.reason);
 		break;
 	case ATTEMPT_RESUME:
-		resume(call, action.reason);
+		resume(call, &action);
 		break;
 	case ATTEMPT_REPLY:
 		reply(call);
