--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -19,7 +19,7 @@
 	ANSWER_SIZE = 1 << 18,
 	LOG_PRINTED_BYTES = 2000,
 	OCTETS = 250,
-	DOCUMENT_SIZE = 16 * 1024,
+	DOCUMENT_SIZE = 512 * 1024,
 };
 
 static void sleep_ms(int64_t ms)
@@ -124,12 +124,14 @@
 	struct cluster_node *node = &cluster->nodes[i];
 	const char *args[] = { "node", "--settings", node->settings_path,
 			       NULL };
+	const char *program = cluster->options.node_program;
 	char log[256];
 
 	if (!write_settings(cluster, i))
 		return false;
 	format_path(cluster, log, sizeof(log), "node", i, "log");
-	return process_start(&node->process, "geraniumplank", args, log);
+	return process_start(&node->process,
+			     program ? program : "geraniumplank", args, log);
 }
 
 bool cluster_wait_node(struct cluster *cluster, uint32_t i)
@@ -280,7 +282,7 @@
 			return false;
 	}
 	for (i = 0; i < cluster->node_count; i++)
-		if (cluster->nodes[i].service[0] &&
+		if (cluster->nodes[i].service[0] && !options->no_upstreams &&
 		    !cluster_start_upstream(cluster, i))
 			return false;
 	return true;
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -18,7 +18,7 @@
  */
 
 enum {
-	CLUSTER_NODES_MAX = 128,
+	CLUSTER_NODES_MAX = 300,
 	CLUSTER_CENTRES_MAX = 11,
 	CLUSTER_SERVICES_MAX = 8,
 	ENDPOINT_SIZE = 64,
@@ -40,6 +40,9 @@
  *	interface of the target platform
  * @no_seeds: nodes start without addresses of other nodes
  * @no_platform: starts no stand-in of the platform's service
+ * @no_upstreams: starts no upstreams; nodes have a service nevertheless
+ * @node_program: full path of the program of the nodes; NULL selects the one of
+ *	the build
  */
 struct cluster_options {
 	uint32_t centres;
@@ -52,6 +55,8 @@
 	bool target_platform;
 	bool no_seeds;
 	bool no_platform;
+	bool no_upstreams;
+	const char *node_program;
 };
 
 /**
--- a/test/fleet/process.c
+++ b/test/fleet/process.c
@@ -47,7 +47,11 @@
 
 	/* Children must not outlive a test that is killed or crashes. */
 	prctl(PR_SET_PDEATHSIG, SIGKILL);
-	snprintf(path, sizeof(path), "%s/%s", process_build_dir(), program);
+	if (*program == '/')
+		snprintf(path, sizeof(path), "%s", program);
+	else
+		snprintf(path, sizeof(path), "%s/%s", process_build_dir(),
+			 program);
 	for (i = 0; args[i] && i < PROCESS_ARGS_MAX; i++)
 		argv[i + 1] = (char *)(uintptr_t)args[i];
 	execv(path, argv);
--- a/test/fleet/process.h
+++ b/test/fleet/process.h
@@ -34,7 +34,7 @@
 
 /**
  * process_start() - start a program of the build directory
- * @program: name of the program, relative to the build directory
+ * @program: name of the program, relative to the build directory, or full path
  * @args: arguments without the program's name, ended by NULL
  * @log_path: file that standard output and standard error are appended to;
  *	NULL for /dev/null
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -37,6 +37,7 @@
 static struct http_client client;
 static struct announcer announcers[UPSTREAMS_MAX];
 static uint32_t count;
+static char instances[UPSTREAMS_MAX][UPSTREAM_ID_SIZE];
 static struct timer leave_check;
 static volatile sig_atomic_t leave_requested;
 
@@ -308,6 +309,7 @@
 {
 	const char *nodes = standin_option(argc, argv, "announce", "");
 	uint16_t port = (uint16_t)number(argc, argv, "port", "0");
+	const char *instance = standin_option(argc, argv, "instance", "standin");
 	struct upstream_options options;
 	uint32_t i;
 
@@ -322,6 +324,12 @@
 		struct announcer *announcer = &announcers[i];
 
 		announcer->client = &client;
+		/* IDs on the target platform are unique. */
+		if (count > 1 && options.heartbeats) {
+			snprintf(instances[i], sizeof(instances[i]), "%s-%u",
+				 instance, i);
+			options.instance = instances[i];
+		}
 		nodes = next_address(nodes, announcer->node,
 				     sizeof(announcer->node));
 		if (!upstream_init(&announcer->upstream, &loop, &options,
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -18,6 +18,7 @@
  * HTTP requests set faults.
  *
  *	GET  /standin/stats[?list=1]	counts; with list also runs by id
+ *	GET  /standin/runs		first run of each id: its begin and end
  *	POST /standin/faults {...}	see struct upstream_faults; with
  *					"crash":true the upstream crashes, with
  *					"replace":true another incarnation
@@ -160,6 +161,8 @@
  * @tenant: tenant that the first run was told; empty if none
  * @tenants_differ: another run was told another tenant
  * @first_us: time of the first run, monotonic clock
+ * @end_us: time at which the latest run ended; 0 while none has ended
+ * @aborted: the caller closed the connection before the end of that run
  * @next: entry in the list of all runs
  * @hh: entry in the table of runs
  */
@@ -169,6 +172,8 @@
 	char tenant[UPSTREAM_ID_SIZE];
 	bool tenants_differ;
 	int64_t first_us;
+	int64_t end_us;
+	bool aborted;
 	struct upstream_run *next;
 	UT_hash_handle hh;
 };
@@ -285,4 +290,13 @@
  */
 json_t *upstream_tenants(const struct upstream *upstream);
 
+/**
+ * upstream_run_times() - begin and end of the runs, by id
+ *
+ * Return: JSON object, owned by the caller: by id an array of the number of
+ * runs, the begin of the first run and the end of the latest, in microseconds
+ * of the monotonic clock, and whether the caller aborted it.
+ */
+json_t *upstream_run_times(const struct upstream *upstream);
+
 #endif
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -73,6 +73,17 @@
 	run->count++;
 }
 
+static void note_end(const struct upstream_job *job, bool aborted)
+{
+	struct upstream_run *run;
+
+	HASH_FIND_STR(job->upstream->runs, job->id, run);
+	if (!run)
+		return;
+	run->end_us = clock_monotonic_us();
+	run->aborted = aborted;
+}
+
 static void job_free(struct upstream_job *job)
 {
 	struct upstream *upstream = job->upstream;
@@ -246,6 +257,7 @@
 		crash(upstream);
 		return;
 	}
+	note_end(job, false);
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
 		http_exchange_close(job->exchange);
@@ -321,6 +333,8 @@
 	struct upstream *upstream = job->upstream;
 
 	upstream->cancelled++;
+	if (job->ran)
+		note_end(job, true);
 	job_free(job);
 	run_next(upstream);
 }
@@ -501,6 +515,20 @@
 			 (json_int_t)upstream->keys_shown, "runs", runs);
 }
 
+json_t *upstream_run_times(const struct upstream *upstream)
+{
+	json_t *runs = json_object();
+	const struct upstream_run *run;
+
+	for (run = upstream->runs; run; run = run->hh.next)
+		json_object_set_new(runs, run->id,
+				    json_pack("[i,I,I,b]", (int)run->count,
+					      (json_int_t)run->first_us,
+					      (json_int_t)run->end_us,
+					      run->aborted));
+	return runs;
+}
+
 static void reply_json(struct http_exchange *exchange, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
@@ -625,6 +653,8 @@
 		reply_json(exchange,
 			   upstream_stats(upstream, http_exchange_query(
 							    exchange, "list")));
+	else if (!strcmp(path, "/standin/runs"))
+		reply_json(exchange, upstream_run_times(upstream));
 	else if (!strcmp(path, "/standin/tenants"))
 		reply_json(exchange, upstream_tenants(upstream));
 	else if (!strcmp(path, "/standin/faults"))
