--- a/test/play/play.h
+++ b/test/play/play.h
@@ -49,6 +49,8 @@
 	PLAY_LOST_RUN,	      /* no answer, and an upstream had it */
 	PLAY_LOST_UNANSWERED, /* no answer, and no upstream had it */
 	PLAY_LOST_REPLACED,   /* an answer of the node while it ran */
+	/* A failure of the node after the run: not LOST by the users' rule. */
+	PLAY_FAILED_AFTER_RUN,
 	PLAY_LOST_KINDS,
 };
 
@@ -123,6 +125,7 @@
  * @document_ms: a version with many routes is written this often; 0: never
  * @routes: number of further routes of a version
  * @rate: requests a second and node
+ * @work_ms: usual service time that requests ask for
  * @big_bytes: size of the largest answers
  * @timeout_ms: timeout of the routes
  * @deadline_ms: deadline of the callers
@@ -145,6 +148,7 @@
 	uint32_t document_ms;
 	uint32_t routes;
 	double rate;
+	uint32_t work_ms;
 	uint32_t big_bytes;
 	uint32_t timeout_ms;
 	uint32_t deadline_ms;
