--- a/test/play/play.h
+++ b/test/play/play.h
@@ -159,6 +159,9 @@
 
 /**
  * struct play_clients - the callers of all nodes
+ * @turn_us: time of the last turn
+ * @longest_turn_us: longest time between two turns; a play whose callers were
+ *	starved says little
  * @accepts: by node: callers begin new requests there
  */
 struct play_clients {
@@ -171,6 +174,8 @@
 	uint32_t count;
 	int64_t next_us;
 	int64_t next_check_us;
+	int64_t turn_us;
+	int64_t longest_turn_us;
 	bool sends;
 	bool accepts[CLUSTER_NODES_MAX];
 };
--- a/test/play/play_clients.c
+++ b/test/play/play_clients.c
@@ -444,6 +444,10 @@
 		for (i = 0; i < count; i++)
 			on_event(events[i].data.ptr, events[i].events);
 		now_us = clock_monotonic_us();
+		if (clients->turn_us &&
+		    now_us - clients->turn_us > clients->longest_turn_us)
+			clients->longest_turn_us = now_us - clients->turn_us;
+		clients->turn_us = now_us;
 	}
 }
 
--- a/test/play/play_judge.c
+++ b/test/play/play_judge.c
@@ -306,7 +306,8 @@
 	totals->broken_promises += request->unsafe && promise && request->runs;
 }
 
-static void print_totals(const struct totals *totals,
+static void print_totals(const struct play_clients *clients,
+			 const struct totals *totals,
 			 const struct play_events *events)
 {
 	uint32_t i;
@@ -322,7 +323,8 @@
 	for (i = PLAY_KEPT + 1; i < PLAY_LOST_KINDS; i++)
 		printf(",\"lost %s\":%u,\"outside %s\":%u", lost_names[i],
 		       totals->lost[i], lost_names[i], totals->outside[i]);
-	printf(",\"lost unsafe\":%u}\n", totals->lost_unsafe);
+	printf(",\"lost unsafe\":%u,\"callers' longest turn_ms\":%lld}\n",
+	       totals->lost_unsafe, ms(clients->longest_turn_us));
 }
 
 void play_judge(const struct play_clients *clients,
@@ -353,7 +355,7 @@
 		add_case(&cases, request->id);
 	}
 	print_logs(clients, cases);
-	print_totals(&totals, events);
+	print_totals(clients, &totals, events);
 	HASH_ITER(hh, cases, found, next) {
 		HASH_DEL(cases, found);
 		free(found);
