call: failing test of an answer that ends with its stopping node

What callers see: 502 peer-lost for an unsafe request that ran once and whose answer was ready, with much of its time left, around stops of the node beside the upstream.

Cause: the connection between the two nodes was closed as silent (one of them was paused for over silence_ms). The run ends and its answer waits for a query of the caller's node. The stopping node counts such an answer as nothing left to do (all_answers_sent() looks at the running requests only), so its process ends before the query, which is refused four times.

--- a/src/call/leaving_test.c
+++ b/src/call/leaving_test.c
@@ -38,3 +38,42 @@
 	cr_expect_eq(running->status, 200, "%u", running->status);
 	cr_expect_eq(path.upstream.ran, 1);
 }
+
+/* Guards against an answer that is lost because the process ends before the
+ * caller's node, which was paused or unreachable for a moment, can query it. */
+Test(leaving_node, an_answer_that_was_not_delivered_is_kept_for_a_query,
+     .init = path_setup, .fini = path_teardown)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	const int64_t drain_ms = 10000;
+	struct path_result *result;
+
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	/* Both nodes close the silent connection, and no query arrives. */
+	while (path.b.calls.server.peers) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	path_release("one");
+	while (path.b.calls.server.inbound_count) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	calls_drain(&path.b.calls, drain_ms);
+	path_stall(true, true);
+	path_run_turns(1);
+	cr_expect_eq(path.b.drained, 0, "drained before the query");
+	path_stall(false, false);
+	path_wait(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	cr_expect_eq(path.upstream.ran, 1);
+	path_wait(&path.b.drained, 1, "drained after the query");
+}
