link: failing test of a repeatable request that only a paused node has

What callers see: 502 peer-lost for a safe request at which its upstream is at work, with much of its time left, while the node beside the upstream is paused and no other endpoint takes the request.

Cause: a repeatable request is queried once, then sent elsewhere.

--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -365,6 +365,41 @@
 	path_teardown();
 }
 
+/* Guards against a repeatable request that is given up while it runs, although
+ * no other endpoint can take it, when its node is paused. */
+Test(link,
+     a_repeatable_request_without_another_endpoint_waits_for_a_paused_node)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "GET",
+					      .path = "/view",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	int64_t paused_until_us;
+	struct path_result *result;
+
+	path_setup();
+	/* The node beside the upstream does not close the connection. */
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	paused_until_us = clock_monotonic_us() + PAUSE_MS * US_PER_MS;
+	while (!result->answers && clock_monotonic_us() < paused_until_us) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_expect_eq(result->answers, 0, "%u %s", result->status,
+		     result->reason);
+	path_stall(false, false);
+	path_release("one");
+	path_wait(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	path_teardown();
+}
+
 Test(link, requests_past_the_drain_time_are_cancelled_with_a_verdict)
 {
 	struct path_result *result;
--- a/test/play/play_pauses.c
+++ b/test/play/play_pauses.c
@@ -88,8 +88,8 @@
 static void *run(void *data)
 {
 	struct play_pauses *pauses = data;
-	const int64_t tick_us =
-		pauses->count > MANY_NODES ? LONG_TICK_US : TICK_US;
+	const int64_t tick_us = pauses->count > MANY_NODES ? LONG_TICK_US
+							   : TICK_US;
 	const struct timespec wait = { 0, tick_us * 1000 };
 	bool ends = false;
 
