call: no further attempt waits for the node of an unreachable one

What callers saw: 502 peer-lost for an idempotent request with 17 of its 20 s left, whose upstream was at work beside the only node of the service, which was paused.

Cause: after one query the request got another attempt, at the same endpoint, as there is no other. Each waited for a connection to the paused node, sixteen of them, before the first attempt was resumed; in the test the fixture then refused further connections.

Now an attempt is not begun at the endpoint of the unreachable one; that one is resumed at once.

--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -125,14 +125,29 @@
 	assembly_finish(&call->answer);
 }
 
+/* Picks an endpoint other than that of the unreachable attempt: another attempt
+ * there would wait for the same node. */
+static void pick_endpoint(struct call *call)
+{
+	struct router *router = call->caller->options.router;
+	int64_t now_us = now(call->caller);
+
+	call->endpoint = placement_pick(&call->placement, router, &call->match,
+					call->call_attempts.attempt_count,
+					now_us);
+	if (!call->endpoint || !call->call_attempts.unreachable ||
+	    strcmp(call->endpoint->record.instance, call->unreachable.instance))
+		return;
+	endpoint_done(router, call->endpoint, ENDPOINT_CANCELLED, -1, 0,
+		      now_us);
+	call->endpoint = NULL;
+}
+
 void call_begin_attempt(struct call *call)
 {
 	struct caller *caller = call->caller;
 
-	call->endpoint = placement_pick(&call->placement,
-					caller->options.router, &call->match,
-					call->call_attempts.attempt_count,
-					now(caller));
+	pick_endpoint(call);
 	if (!call->endpoint) {
 		call_step_reason(call, ATTEMPT_EVENT_NO_ENDPOINT,
 				 call->refusal.reason ? call->refusal.reason
