load: kept callers send in pieces and read through small buffers

A kept caller wrote a request with one call and took a short write for the end of the connection, so no soak sent a body in parts. It now keeps the bytes that are left and writes them by a timer; a request whose bytes have not all left was not read. A connection that takes no more bytes may still deliver an answer, so its end is noticed by reading, as before.

Options set the size of a piece, the gap and the receive buffer; without them callers send as before. A record tells whether the answer bears the mark of an upstream.

--- a/test/fleet/load.c
+++ b/test/fleet/load.c
@@ -72,6 +72,8 @@
 
 	record->status = answer->status;
 	record->timed_out = answer->timed_out;
+	record->stamped = http_answer_header(answer, "X-Response-Stamp") !=
+			  NULL;
 	record->outcome = outcome_of(answer);
 	if (reason)
 		snprintf(record->reason, sizeof(record->reason), "%s", reason);
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -95,6 +95,11 @@
  *	after another on a connection until the target closes it
  * @keepalive_gap_ms: their average pause between an answer and the next request
  * @keepalive_timeout_ms: time after which such a caller closes the connection
+ * @piece_bytes: such a caller sends a request in pieces of this size; 0 sends
+ *it at once
+ * @piece_gap_us: time between two pieces
+ * @receive_bytes: size of the receive buffer of such a caller; 0 for the usual
+ *	size
  */
 struct load_options {
 	const char *targets[LOAD_TARGETS_MAX];
@@ -114,6 +119,9 @@
 	uint32_t keepalive_per_target;
 	int64_t keepalive_gap_ms;
 	int64_t keepalive_timeout_ms;
+	size_t piece_bytes;
+	int64_t piece_gap_us;
+	int receive_bytes;
 };
 
 /** enum load_outcome - outcome of a request, as its caller sees it. */
@@ -140,6 +148,7 @@
  * @request_read: aborted on a keep-alive connection after the target's process
  *	had read the request or started the answer; for other aborted requests
  *	it is unknown whether they were read
+ * @stamped: the answer bears the mark of an upstream
  * @reason: value of Geraniumplank-Reason; empty if absent
  * @due_us: time of sending by the schedule, monotonic clock
  * @sent_us: time at which it was sent, monotonic clock
@@ -154,6 +163,7 @@
 	bool mismatched;
 	bool timed_out;
 	bool request_read;
+	bool stamped;
 	char reason[LOAD_REASON_SIZE];
 	int64_t due_us;
 	int64_t sent_us;
--- a/test/fleet/load_keepalive.c
+++ b/test/fleet/load_keepalive.c
@@ -16,6 +16,8 @@
 	READ_BYTES = 16 * 1024,
 	/* Pause before connecting again after a connection failed. */
 	RETRY_US = 20 * US_PER_MS,
+	/* Pause before writing again to a connection that takes no bytes. */
+	FULL_US = 2 * US_PER_MS,
 };
 
 enum keepalive_state {
@@ -35,6 +37,8 @@
  * @fd: socket; valid unless @state is KEEPALIVE_CLOSED
  * @watch: watch of @fd
  * @due: timer of the next request or of the timeout of an answer
+ * @next_piece: timer of the next piece of the request
+ * @out: bytes of the request that are not sent yet
  * @parser: parser of the answer
  * @head: header fields of the answer
  * @body: body of the answer
@@ -51,6 +55,8 @@
 	int fd;
 	struct watch watch;
 	struct timer due;
+	struct timer next_piece;
+	struct buffer out;
 	http_parser parser;
 	struct http_head head;
 	struct buffer body;
@@ -80,6 +86,7 @@
 	if (keepalive->state == KEEPALIVE_CLOSED)
 		return;
 	watch_stop(&keepalive->watch);
+	timer_cancel(&keepalive->load->loop, &keepalive->next_piece);
 	net_close(keepalive->fd);
 	keepalive->state = KEEPALIVE_CLOSED;
 }
@@ -96,6 +103,8 @@
 	struct tcp_info info = { 0 };
 	socklen_t size = sizeof(info);
 
+	if (buffer_size(&keepalive->out))
+		return false;
 	if (keepalive->answer_started)
 		return true;
 	return result == NET_CLOSED &&
@@ -140,7 +149,8 @@
 
 	finish_request(keepalive);
 	load_record_answer(keepalive->load, keepalive->record, &answer);
-	if (http_should_keep_alive(&keepalive->parser))
+	if (http_should_keep_alive(&keepalive->parser) &&
+	    !buffer_size(&keepalive->out))
 		keepalive->state = KEEPALIVE_IDLE;
 	else
 		close_connection(keepalive);
@@ -260,12 +270,35 @@
 		load->in_flight_peak = load->in_flight;
 }
 
-static void send_request(struct load_keepalive *keepalive)
+/* A connection that takes no more bytes may still deliver an answer: its end is
+ * noticed by reading. */
+static void send_piece(struct load_keepalive *keepalive)
 {
-	struct buffer out = { 0 };
+	const struct load_options *options = &keepalive->load->options;
+	size_t size = buffer_size(&keepalive->out);
+	int64_t wait_us = FULL_US;
 	enum net_result result;
-	size_t size;
 
+	if (options->piece_bytes && size > options->piece_bytes) {
+		size = options->piece_bytes;
+		wait_us = options->piece_gap_us;
+	}
+	result = net_write(keepalive->fd, buffer_data(&keepalive->out), &size);
+	if (result == NET_OK)
+		buffer_consume(&keepalive->out, size);
+	if ((result == NET_OK || result == NET_AGAIN) &&
+	    buffer_size(&keepalive->out))
+		timer_set(&keepalive->load->loop, &keepalive->next_piece,
+			  clock_monotonic_us() + wait_us);
+}
+
+static void next_piece(struct timer *timer, void *data)
+{
+	send_piece(data);
+}
+
+static void send_request(struct load_keepalive *keepalive)
+{
 	add_record(keepalive);
 	http_parser_init(&keepalive->parser, HTTP_RESPONSE);
 	keepalive->parser.data = keepalive;
@@ -273,16 +306,12 @@
 	buffer_consume(&keepalive->body, buffer_size(&keepalive->body));
 	keepalive->answer_started = false;
 	keepalive->complete = false;
-	format_request(keepalive, &out);
-	size = buffer_size(&out);
-	result = net_write(keepalive->fd, buffer_data(&out), &size);
+	buffer_consume(&keepalive->out, buffer_size(&keepalive->out));
+	format_request(keepalive, &keepalive->out);
 	keepalive->state = KEEPALIVE_WAITING;
 	set_due(keepalive,
 		keepalive->load->options.keepalive_timeout_ms * US_PER_MS);
-	/* A short write means that the connection has ended. */
-	if (result != NET_OK || size < buffer_size(&out))
-		abort_request(keepalive, NET_FAILED);
-	buffer_finish(&out);
+	send_piece(keepalive);
 }
 
 static void connected(struct load_keepalive *keepalive)
@@ -319,6 +348,7 @@
 
 static void open_connection(struct load_keepalive *keepalive)
 {
+	int size = keepalive->load->options.receive_bytes;
 	struct error err = ERROR_INIT;
 
 	keepalive->fd = net_connect(&keepalive->target_address, NULL, &err);
@@ -326,6 +356,9 @@
 		set_due(keepalive, RETRY_US);
 		return;
 	}
+	if (size)
+		setsockopt(keepalive->fd, SOL_SOCKET, SO_RCVBUF, &size,
+			   sizeof(size));
 	keepalive->state = KEEPALIVE_CONNECTING;
 	if (!watch_start(&keepalive->watch, &keepalive->load->loop,
 			 keepalive->fd, LOOP_WRITE, on_ready, keepalive, &err))
@@ -386,6 +419,7 @@
 				   &keepalive->target_address, &err))
 			return false;
 		timer_init(&keepalive->due, due, keepalive);
+		timer_init(&keepalive->next_piece, next_piece, keepalive);
 		schedule_request(keepalive);
 		load->keepalive_count++;
 	}
@@ -402,6 +436,7 @@
 		close_connection(keepalive);
 		timer_cancel(&load->loop, &keepalive->due);
 		http_head_finish(&keepalive->head);
+		buffer_finish(&keepalive->out);
 		buffer_finish(&keepalive->body);
 	}
 	free(load->keepalive);
