--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -35,6 +35,18 @@
 	snprintf(path, size, "%s/%s-%u.%s", cluster->dir, name, i, ending);
 }
 
+void cluster_account_path(const struct cluster *cluster, uint32_t i, char *path,
+			  size_t size)
+{
+	format_path(cluster, path, size, "account", i, "txt");
+}
+
+void cluster_log_path(const struct cluster *cluster, uint32_t i, char *path,
+		      size_t size)
+{
+	format_path(cluster, path, size, "node", i, "log");
+}
+
 static void write_seeds(const struct cluster *cluster, uint32_t self,
 			FILE *file)
 {
@@ -186,6 +198,7 @@
 		node->announce, "--instance",  node->instance,
 	};
 	uint32_t count = 9;
+	char account[256];
 	char log[256];
 	uint32_t j;
 
@@ -193,6 +206,11 @@
 		args[count++] = "--interface";
 		args[count++] = "platform";
 	}
+	if (cluster->options.accounts) {
+		cluster_account_path(cluster, i, account, sizeof(account));
+		args[count++] = "--account";
+		args[count++] = account;
+	}
 	for (j = 0; cluster->options.upstream_args[j]; j++)
 		args[count++] = cluster->options.upstream_args[j];
 	format_path(cluster, log, sizeof(log), "upstream", i, "log");
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -38,6 +38,8 @@
  * @upstream_args: further arguments of each upstream stand-in, ended by NULL
  * @target_platform: nodes, upstreams and the stand-in of the service use the
  *	interface of the target platform
+ * @accounts: each upstream writes its arrivals and runs to a file, see
+ *	cluster_account_path()
  * @no_seeds: nodes start without addresses of other nodes
  * @no_platform: starts no stand-in of the platform's service
  */
@@ -50,6 +52,7 @@
 	const char *settings;
 	const char *upstream_args[PROCESS_ARGS_MAX / 2];
 	bool target_platform;
+	bool accounts;
 	bool no_seeds;
 	bool no_platform;
 };
@@ -137,6 +140,14 @@
 /** cluster_wait_node() - wait until the spawned node @i is ready. */
 bool cluster_wait_node(struct cluster *cluster, uint32_t i);
 
+/** cluster_account_path() - file of the account of the upstream of node @i. */
+void cluster_account_path(const struct cluster *cluster, uint32_t i, char *path,
+			  size_t size);
+
+/** cluster_log_path() - file of the log of node @i. */
+void cluster_log_path(const struct cluster *cluster, uint32_t i, char *path,
+		      size_t size);
+
 /** cluster_start_upstream() - start the upstream of node @i, also again. */
 bool cluster_start_upstream(struct cluster *cluster, uint32_t i);
 
--- a/test/standin/upstream.c
+++ b/test/standin/upstream.c
@@ -264,6 +264,7 @@
 	options->leave_ms = number(argc, argv, "leave-ms", "500");
 	options->down_ms = number(argc, argv, "down-ms", "0");
 	options->report_lag_ms = number(argc, argv, "report-lag-ms", "0");
+	options->account = standin_option(argc, argv, "account", "");
 	options->buffer_bytes = (int)number(argc, argv, "buffer-bytes", "0");
 }
 
@@ -289,6 +290,7 @@
 	"  --starting-ms, --cold-ms, --cold-factor, --leave-ms, --down-ms,\n"
 	"  --report-lag-ms   times of its life\n"
 	"  --buffer-bytes   size of the buffers of its sockets\n"
+	"  --account FILE   receives each arrival and each run\n"
 	"  --odd KIND, --odd-every N   an odd answer to each Nth request\n"
 	"\n"
 	"POST /standin/faults {\"odd\":\"KIND\",\"odd_every\":N} sets the same\n"
--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -2,6 +2,7 @@
 #define STANDIN_UPSTREAM_H
 
 #include <jansson.h>
+#include <stdio.h>
 #include <uthash.h>
 
 #include "base/random.h"
@@ -110,6 +111,8 @@
  * @down_ms: time for which a crashed upstream accepts no connections; with 0,
  *	its process ends
  * @report_lag_ms: maximum age of the reported load
+ * @account: path of the file that receives the arrivals and runs, see
+ *	promises/promises.h; empty for none
  * @buffer_bytes: size of the buffers of its sockets, so that requests and
  *	answers are taken in parts; 0 for the usual size
  */
@@ -128,6 +131,7 @@
 	int64_t leave_ms;
 	int64_t down_ms;
 	int64_t report_lag_ms;
+	const char *account;
 	int buffer_bytes;
 };
 
@@ -182,6 +186,7 @@
  * @random: random numbers of the service times
  * @fault_random: random numbers of the faults that have a share
  * @extra: answers to be sent again
+ * @account: receives the arrivals and runs; NULL for none
  * @start: number of the present incarnation, from 1
  * @waiting: requests that wait for a slot
  * @running: requests that run
@@ -216,6 +221,7 @@
 	struct random random;
 	struct random fault_random;
 	struct extra_answers extra;
+	FILE *account;
 	uint32_t start;
 	struct upstream_job *waiting;
 	struct upstream_job *running;
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -8,6 +8,7 @@
 
 /* The output of a connection: a server sends no answer twice. */
 #include "http/conn.h"
+#include "promises/promises.h"
 #include "os/clock.h"
 #include "standin/upstream.h"
 
@@ -44,6 +45,20 @@
 
 static void run_next(struct upstream *upstream);
 
+static void tell(const struct upstream *upstream, enum promise_event event,
+		 const char *id, unsigned int status)
+{
+	struct promise_entry entry = { .event = event,
+				       .at_us = clock_monotonic_us(),
+				       .status = status };
+
+	if (!upstream->account)
+		return;
+	snprintf(entry.id, sizeof(entry.id), "%s", id);
+	upstream_id(upstream, entry.instance);
+	promise_write(upstream->account, &entry);
+}
+
 static int64_t query_number(const struct http_exchange *exchange,
 			    const char *name, int64_t fallback)
 {
@@ -189,6 +204,7 @@
 	memcpy(body, job->id, strlen(job->id));
 	if (job->upstream->faults.cut > 0) {
 		job->upstream->faults.cut--;
+		tell(job->upstream, PROMISE_BROKE, job->id, 0);
 		http_exchange_reply_truncated(job->exchange, STATUS_OK, body,
 					      (size_t)size + CUT_BYTES,
 					      (size_t)size / 2);
@@ -196,6 +212,8 @@
 		bool fails = job->upstream->faults.fail > 0;
 
 		job->upstream->faults.fail -= fails;
+		tell(job->upstream, PROMISE_REPLIED, job->id,
+		     fails ? STATUS_ERROR : STATUS_OK);
 		send_answer(job->upstream, job->exchange,
 			    fails ? STATUS_ERROR : STATUS_OK, headers, count,
 			    body, (size_t)size);
@@ -210,6 +228,7 @@
 		{ "X-Response-Stamp", job->id },
 	};
 
+	tell(job->upstream, PROMISE_REPLIED, job->id, STATUS_UNAVAILABLE);
 	send_answer(job->upstream, job->exchange, STATUS_UNAVAILABLE, headers,
 		    sizeof(headers) / sizeof(headers[0]), "", 0);
 }
@@ -227,6 +246,12 @@
 
 static void crash(struct upstream *upstream)
 {
+	const struct upstream_job *job;
+
+	DL_FOREACH(upstream->running, job)
+		tell(upstream, PROMISE_BROKE, job->id, 0);
+	DL_FOREACH(upstream->waiting, job)
+		tell(upstream, PROMISE_BROKE, job->id, 0);
 	if (!upstream->options.down_ms)
 		raise(SIGKILL);
 	free_jobs(upstream);
@@ -248,8 +273,10 @@
 	}
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
+		tell(upstream, PROMISE_BROKE, job->id, 0);
 		http_exchange_close(job->exchange);
 	} else if (draw(upstream, upstream->faults.lose)) {
+		tell(upstream, PROMISE_BROKE, job->id, 0);
 		http_exchange_close(job->exchange);
 	} else if (draw(upstream, upstream->faults.unavailable)) {
 		reply_unavailable(job);
@@ -299,6 +326,7 @@
 	DL_APPEND(upstream->running, job);
 	upstream->running_count++;
 	job->ran = true;
+	tell(upstream, PROMISE_BEGAN, job->id, 0);
 	tenant = http_exchange_header(job->exchange, "Geraniumplank-Tenant");
 	count_run(upstream, job->id, tenant ? tenant : "");
 	if (wait_us > 0)
@@ -321,10 +349,20 @@
 	struct upstream *upstream = job->upstream;
 
 	upstream->cancelled++;
+	tell(upstream, PROMISE_LEFT, job->id, 0);
 	job_free(job);
 	run_next(upstream);
 }
 
+static void tell_exchange(const struct upstream *upstream,
+			  const struct http_exchange *exchange,
+			  enum promise_event event, unsigned int status)
+{
+	const char *id = http_exchange_header(exchange, "X-Request-Id");
+
+	tell(upstream, event, id ? id : "", status);
+}
+
 static void shed(struct upstream *upstream, struct http_exchange *exchange,
 		 bool proof)
 {
@@ -334,6 +372,7 @@
 	size_t count = proof;
 
 	upstream->shed++;
+	tell_exchange(upstream, exchange, PROMISE_REJECTED, STATUS_UNAVAILABLE);
 	count += add_notices(upstream, &headers[count]);
 	http_exchange_reply(exchange, STATUS_UNAVAILABLE, headers, count, "",
 			    0);
@@ -353,6 +392,7 @@
 	if (!id || draw(upstream, upstream->faults.unnamed))
 		count--;
 	upstream->rejected++;
+	tell(upstream, PROMISE_REJECTED, id ? id : "", status);
 	send_answer(upstream, exchange, status, headers, count, "", 0);
 }
 
@@ -391,6 +431,7 @@
 
 	if (faults->close_unrun > 0) {
 		faults->close_unrun--;
+		tell_exchange(upstream, exchange, PROMISE_BROKE, 0);
 		http_exchange_close(exchange);
 		return true;
 	}
@@ -424,6 +465,7 @@
 
 	upstream->last_arrival_us = loop_now_us(upstream->loop);
 	count_arrival(upstream, clock_monotonic_us());
+	tell(upstream, PROMISE_ARRIVED, id ? id : "", 0);
 	upstream->keys_shown +=
 		http_exchange_header(exchange, "Authorization") != NULL;
 	if (refuse(upstream, exchange) ||
@@ -709,6 +751,21 @@
 	return timer_is_set(&upstream->restart);
 }
 
+static bool open_account(struct upstream *upstream, struct error *err)
+{
+	const char *path = upstream->options.account;
+
+	if (!path || !*path)
+		return true;
+	upstream->account = fopen(path, "ae");
+	if (!upstream->account) {
+		error_set(err, ERROR_IO, "cannot open %s", path);
+		return false;
+	}
+	setvbuf(upstream->account, NULL, _IOLBF, 0);
+	return true;
+}
+
 bool upstream_init(struct upstream *upstream, struct loop *loop,
 		   const struct upstream_options *options, uint16_t port,
 		   struct error *err)
@@ -720,6 +777,8 @@
 	upstream->faults.reject_status = STATUS_TOO_MANY;
 	upstream->start = 1;
 	upstream->started_us = clock_monotonic_us();
+	if (!open_account(upstream, err))
+		return false;
 	random_init(&upstream->random, port);
 	random_init(&upstream->fault_random, (uint64_t)port + 1);
 	timer_init(&upstream->restart, restart_expired, upstream);
@@ -736,6 +795,8 @@
 	timer_cancel(upstream->loop, &upstream->restart);
 	http_server_finish(&upstream->server);
 	extra_answers_finish(&upstream->extra);
+	if (upstream->account)
+		fclose(upstream->account);
 	HASH_CLEAR(hh, upstream->runs);
 	LL_FOREACH_SAFE(upstream->run_list, run, next)
 		free(run);
