soak: planned work with deployed silence times and nodes that are paused

The second part of a seed, planned changes alone, gave nodes a silence time of 60 s or excused every 502 peer-lost, so that a slow machine failed no seed.

Every third seed is now a deployed one: the target platform's interface, the silence times of deploy/node.toml, nodes that get 10 to 40 % of a core by pauses or are paused once for 0.3 to 1.5 s, two nodes stopped at once, stops as soon as a node is ready, reloads and versions while nodes stop, bodies of 24 kB in pieces, answers of 30 kB through small buffers. The draws have a source of their own and the lines of seeds.txt that say "target" play as before.

LOST and the other promises are judged from accounts (test/promises); each broken one gets a page under BUILD/soak-pages with the caller, arrivals and runs, the signals and the log lines of all nodes that name the request, by time.

The former checks that are replaced: "a planned stop cuts nothing" and "no work is given up before its deadline" counted runs; LOST counts arrivals as well, and any answer of a node in place of a run, also one that says "not run". The excuse for peer-lost stays for seeds that had it.

--- a/soak/checks.c
+++ b/soak/checks.c
@@ -8,38 +8,37 @@
 	POLL_MS = 50,
 	STATUS_OK = 200,
 	/* Limits the output of a seed with many failures. */
-	PRINTED_MAX = 100,
+	PAGES_MAX = 20,
+	PATH_SIZE = 256,
 };
 
 /**
- * struct planned - requests sent in the second part, under planned changes only
- * @checked: number of these requests
- * @aborted: number of requests that a node read and did not answer: the node
- *	closed the connection, or the caller timed out
- * @abandoned: number of requests that an upstream ran and that a node gave up
- *	before their deadline
- * @peer_lost_count: number of requests given up in this way because a node
- *	declared a peer lost, which is allowed if nodes do not tolerate silence;
- *	not included in @abandoned
+ * struct findings - what the judge has found
+ * @broken: number of requests, by rule
+ * @peer_lost: number of requests given up because a node declared a peer lost,
+ *	which is allowed if nodes have a short silence timeout and the seed is
+ *	not a deployed one; not included in @broken
+ * @planned: number of requests sent under planned changes only
+ * @pages: number of pages written
  */
-struct planned {
-	uint32_t checked;
-	uint32_t aborted;
-	uint32_t abandoned;
-	uint32_t peer_lost_count;
+struct findings {
+	uint32_t broken[PROMISE_RULES];
+	uint32_t peer_lost;
+	uint32_t planned;
+	uint32_t pages;
 };
 
-/*
- * An aborted request counts as a failure only if a node is known to have read
- * it: the kernel or a partial answer shows it (see load_keepalive.h), the
- * request timed out, or an upstream ran it. A request that arrives while the
- * process of the node is ending may never have been read.
- */
-static bool is_aborted(const struct load_record *record, uint32_t runs)
+static enum promise_end end_of(const struct load_record *record)
 {
-	if (record->outcome != LOAD_ABORTED)
-		return false;
-	return record->timed_out || record->request_read || runs;
+	switch (record->outcome) {
+	case LOAD_NOT_SENT:
+		return PROMISE_NOT_SENT;
+	case LOAD_PENDING:
+	case LOAD_ABORTED:
+		return record->timed_out ? PROMISE_WAITED : PROMISE_CLOSED;
+	default:
+		return PROMISE_ANSWERED;
+	}
 }
 
 /*
@@ -47,106 +46,106 @@
  * reaches the caller before the deadline, the node therefore sent the answer
  * before the deadline. A slow machine can only delay the answer.
  */
-static bool is_abandoned(const struct soak *soak,
-			 const struct load_record *record, uint32_t runs)
+void soak_judge_request(const struct soak *soak, uint32_t index,
+			struct promise_request *request)
 {
+	const struct load_record *record = &soak->load.records[index];
 	const struct load_kind *kind = &soak->load.options.kinds[record->kind];
 
-	if (record->outcome != LOAD_MAY_HAVE_RUN &&
-	    record->outcome != LOAD_RAN_NO_ANSWER)
-		return false;
-	return runs && record->latency_us < kind->deadline_ms * US_PER_MS;
+	*request = (struct promise_request){
+		.end = end_of(record),
+		.may_repeat = !kind->non_idempotent,
+		.planned = soak->planned_from_us &&
+			   record->sent_us >= soak->planned_from_us,
+		.read = record->request_read,
+		.stamped = record->stamped,
+		.own_body = !record->mismatched,
+		.status = record->status,
+		.sent_us = record->sent_us,
+		.ended_us = record->sent_us + record->latency_us,
+		.limit_us = record->sent_us + kind->deadline_ms * US_PER_MS,
+	};
 }
 
 /* On a slow machine, a node with a short silence timeout may declare a peer
  * lost although the peer is alive. This is a failure only if the nodes tolerate
- * silence. */
+ * silence, or have the silence times of a deployment. */
 static bool is_peer_lost(const struct soak *soak,
 			 const struct load_record *record)
 {
-	return !soak->tolerates_silence && !strcmp(record->reason, "peer-lost");
+	return !soak->tolerates_silence && !soak->deployed &&
+	       record->outcome != LOAD_NOT_RUN &&
+	       !strcmp(record->reason, "peer-lost");
 }
 
-static void print_record(const struct soak *soak, uint32_t index,
-			 const char *what)
+static void judge_record(const struct soak *soak, uint32_t index,
+			 const struct promise_account *account,
+			 struct findings *findings)
 {
-	const struct load_record *record = &soak->load.records[index];
-	const struct load_kind *kind = &soak->load.options.kinds[record->kind];
+	struct promise_request request;
+	const struct promise_entry *entries;
 	char id[LOAD_ID_SIZE];
+	size_t count;
+	int i;
 
-	fprintf(stderr,
-		"%s: %s (%s) by %s, sent %.3f s after the start of the part, "
-		"ended after %lld us, deadline %lld ms: status %u, reason "
-		"\"%s\", timed out %d, read %d\n",
-		what, load_id(&soak->load, index, id), kind->name,
-		soak->cluster.nodes[record->target].instance,
-		(double)(record->sent_us - soak->planned_from_us) / US_PER_S,
-		(long long)record->latency_us, (long long)kind->deadline_ms,
-		record->status, record->reason, record->timed_out,
-		record->request_read);
-}
-
-static void check_record(const struct soak *soak, uint32_t index, uint32_t runs,
-			 struct planned *planned)
-{
-	const struct load_record *record = &soak->load.records[index];
-	bool aborted = is_aborted(record, runs);
-	bool abandoned = is_abandoned(soak, record, runs);
-
-	planned->checked++;
-	if (abandoned && is_peer_lost(soak, record)) {
-		planned->peer_lost_count++;
-		return;
-	}
-	planned->aborted += aborted;
-	planned->abandoned += abandoned;
-	if ((aborted || abandoned) &&
-	    planned->aborted + planned->abandoned <= PRINTED_MAX)
-		print_record(soak, index,
-			     aborted ? "aborted"
-				     : "abandoned before its deadline");
-}
-
-/* Prints the requests that were refused and ran, or that ran twice. The way of
- * each over all nodes is in the logs: geraniumplank explain ID LOGS. */
-static void print_broken(const struct soak *soak, json_t *const stats[])
-{
-	uint32_t printed = 0;
-	uint32_t i;
+	soak_judge_request(soak, index, &request);
+	findings->planned += request.planned;
+	entries =
+		promise_find(account, load_id(&soak->load, index, id), &count);
+	for (i = 0; i < PROMISE_RULES; i++) {
+		enum promise_rule rule = (enum promise_rule)i;
 
-	for (i = 0; i < soak->load.count && printed < PRINTED_MAX; i++) {
-		const struct load_record *record = &soak->load.records[i];
-		const struct load_kind *kind =
-			&soak->load.options.kinds[record->kind];
-		uint32_t runs = load_runs(&soak->load, i, stats, soak->count);
-		bool refused = load_is_false_promise(&soak->load, i, runs);
-
-		if (!refused && (!kind->non_idempotent || runs < 2))
+		if (!promise_is_broken(rule, &request, entries, count))
+			continue;
+		if (rule == PROMISE_LOST &&
+		    is_peer_lost(soak, &soak->load.records[index])) {
+			findings->peer_lost++;
 			continue;
-		print_record(soak, i,
-			     refused ? "refused and ran" : "ran twice");
-		printed++;
+		}
+		findings->broken[rule]++;
+		if (findings->pages++ < PAGES_MAX)
+			soak_write_page(soak, index, rule, account);
 	}
 }
 
-static void check_planned(const struct soak *soak, json_t *const stats[])
+static void judge_all(const struct soak *soak)
 {
-	struct planned planned = { 0 };
+	static const char *const promises[PROMISE_RULES] = {
+		[PROMISE_LOST] = "LOST: around planned work every request that "
+				 "was read gets a whole answer, and no work is "
+				 "given up before its deadline",
+		[PROMISE_REFUSED] =
+			"REFUSED: no request that was refused by its "
+			"status has run",
+		[PROMISE_TWICE] = "TWICE: no non-idempotent request runs twice",
+		[PROMISE_MIXED] = "MIXED: every success is the answer of an "
+				  "upstream to its request",
+		[PROMISE_GONE] = "GONE: no request runs long after its caller "
+				 "has left",
+	};
+	struct promise_account account = { 0 };
+	struct findings findings = { 0 };
+	char path[PATH_SIZE];
 	uint32_t i;
 
-	for (i = 0; soak->planned_from_us && i < soak->load.count; i++)
-		if (soak->load.records[i].sent_us >= soak->planned_from_us)
-			check_record(soak, i,
-				     load_runs(&soak->load, i, stats,
-					       soak->count),
-				     &planned);
-	bench_must(!planned.aborted, "a planned stop cuts nothing");
-	bench_must(!planned.abandoned,
-		   "no work is given up before its deadline");
-	printf("  under planned changes only: %u requests, %u aborted, %u "
-	       "abandoned, %u with a lost peer\n",
-	       planned.checked, planned.aborted, planned.abandoned,
-	       planned.peer_lost_count);
+	for (i = 0; i < soak->count; i++) {
+		cluster_account_path(&soak->cluster, i, path, sizeof(path));
+		bench_must(promise_read(&account, path),
+			   "the account of an upstream can be read");
+	}
+	promise_sort(&account);
+	for (i = 0; i < soak->load.count; i++)
+		judge_record(soak, i, &account, &findings);
+	for (i = 0; i < PROMISE_RULES; i++)
+		bench_must(!findings.broken[i], promises[i]);
+	printf("  under planned changes only: %u requests, %u with a lost "
+	       "peer; broken promises:",
+	       findings.planned, findings.peer_lost);
+	for (i = 0; i < PROMISE_RULES; i++)
+		printf(" %s %u", promise_rule_name((enum promise_rule)i),
+		       findings.broken[i]);
+	printf("\n");
+	promise_finish(&account);
 }
 
 static void print_counts(const struct soak *soak)
@@ -197,8 +196,6 @@
 			   "the statistics of an upstream can be read");
 	}
 	load_check(&soak->load, stats, soak->count, &audit);
-	if (audit.duplicate_runs || audit.false_promises)
-		print_broken(soak, stats);
 	bench_must(!audit.duplicate_runs,
 		   "no non-idempotent request runs twice");
 	bench_must(!audit.false_not_run,
@@ -206,7 +203,7 @@
 	bench_must(!audit.false_promises,
 		   "no request that was refused by its status has run");
 	bench_must(!audit.answered_not_run, "every answered request has run");
-	check_planned(soak, stats);
+	judge_all(soak);
 	print_counts(soak);
 	for (i = 0; i < soak->count; i++)
 		json_decref(stats[i]);
--- a/soak/faults.c
+++ b/soak/faults.c
@@ -43,6 +43,7 @@
 
 static void pause_node(struct soak *soak, uint32_t i)
 {
+	soak_note(soak, i, "SIGSTOP");
 	process_signal(&soak->cluster.nodes[i].process, SIGSTOP);
 	soak->nodes[i].state = NODE_PAUSED;
 	soak->nodes[i].ends_at_step = draw_end(soak);
@@ -50,13 +51,15 @@
 
 static void kill_node(struct soak *soak, uint32_t i)
 {
+	soak_note(soak, i, "SIGKILL");
 	process_kill(&soak->cluster.nodes[i].process);
 	soak->nodes[i].state = NODE_GONE;
 	soak->nodes[i].ends_at_step = draw_end(soak);
 }
 
-static void stop_node(struct soak *soak, uint32_t i)
+void soak_stop_node(struct soak *soak, uint32_t i)
 {
+	soak_note(soak, i, "SIGTERM");
 	process_signal(&soak->cluster.nodes[i].process, SIGTERM);
 	soak->nodes[i].state = NODE_STOPPING;
 	soak->nodes[i].state_deadline_us =
@@ -85,6 +88,7 @@
 
 	if (soak->platform_cut[centre])
 		return;
+	soak_note(soak, i, "a version is accepted");
 	version = soak_accept(soak, i);
 	if (version > soak->version)
 		soak->version = version;
@@ -116,7 +120,7 @@
 		uint32_t node = (first + i) % soak->count;
 
 		if (soak->nodes[node].state == NODE_RUNNING)
-			stop_node(soak, node);
+			soak_stop_node(soak, node);
 	}
 }
 
@@ -124,7 +128,7 @@
 {
 	uint32_t other;
 
-	stop_node(soak, i);
+	soak_stop_node(soak, i);
 	for (other = 0; other < soak->count; other++)
 		if (soak->nodes[other].state == NODE_STOPPING)
 			process_signal(&soak->cluster.nodes[other].process,
@@ -145,12 +149,14 @@
 }
 
 /* SIGHUP terminates a process that has not installed its handler yet. */
-static void reload(struct soak *soak, uint32_t i)
+void soak_reload_node(struct soak *soak, uint32_t i)
 {
 	enum node_state state = soak->nodes[i].state;
 
-	if (state == NODE_RUNNING || state == NODE_STOPPING)
-		process_signal(&soak->cluster.nodes[i].process, SIGHUP);
+	if (state != NODE_RUNNING && state != NODE_STOPPING)
+		return;
+	soak_note(soak, i, "SIGHUP");
+	process_signal(&soak->cluster.nodes[i].process, SIGHUP);
 }
 
 static void apply_series_step(struct soak *soak, enum fault fault, uint32_t i)
@@ -158,9 +164,9 @@
 	bool runs = soak->nodes[i].state == NODE_RUNNING;
 
 	if (fault == FAULT_RELOADS)
-		reload(soak, i);
+		soak_reload_node(soak, i);
 	else if (fault == FAULT_ROLL && runs)
-		stop_node(soak, i);
+		soak_stop_node(soak, i);
 	else if (fault == FAULT_ACCEPT_MANY && runs &&
 		 operator_interfaces_respond(soak))
 		accept_version(soak, i);
@@ -235,7 +241,7 @@
 
 	switch (fault) {
 	case FAULT_STOP:
-		stop_node(soak, i);
+		soak_stop_node(soak, i);
 		return;
 	case FAULT_ACCEPT:
 		accept_version(soak, i);
@@ -303,8 +309,14 @@
 
 	if (process_wait_ready(process, READY_POLL_MS)) {
 		soak->nodes[i].state = NODE_RUNNING;
-		return bench_must(cluster_wait_node(&soak->cluster, i),
-				  "a started node reports its addresses");
+		soak_note(soak, i, "ready");
+		if (!bench_must(cluster_wait_node(&soak->cluster, i),
+				"a started node reports its addresses"))
+			return false;
+		if (soak->stop_when_started[i])
+			soak_stop_node(soak, i);
+		soak->stop_when_started[i] = false;
+		return true;
 	}
 	if (process->pid > 0 &&
 	    clock_monotonic_us() < soak->nodes[i].state_deadline_us)
@@ -344,6 +356,7 @@
 				  "no node exits unexpectedly");
 	case NODE_PAUSED:
 		if (is_over) {
+			soak_note(soak, i, "SIGCONT");
 			process_signal(process, SIGCONT);
 			soak->nodes[i].state = NODE_RUNNING;
 		}
@@ -400,6 +413,8 @@
 	uint32_t i;
 
 	memset(soak->series, 0, sizeof(soak->series));
+	memset(soak->stop_when_started, 0, sizeof(soak->stop_when_started));
+	soak_end_pauses(soak);
 	soak_end_upstream_faults(soak);
 	soak_end_answer_faults(soak);
 	while (ok && !all_running(soak)) {
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,12 +10,13 @@
  * usage: soak BUILD [FIRST_SEED [SEEDS [STEPS [NODES [FILE]]]]]
  *
  * FILE holds seeds that are run first, one "SEED STEPS NODES
- * [upstreams|tenants|target]" a line; "upstreams" adds the faults of upstreams
- * that other seeds have, "tenants" these and the tenants, and "target" replaces
- * both by the interface of the target platform. Of the seeds on the command
- * line, every third one is played so. A line that begins
- * with "#" is a comment. A seed always draws the same faults. Which of these
- * faults are injected depends on the state of the nodes at that time.
+ * [upstreams|tenants|target|deployed]" a line; "upstreams" adds the faults of
+ * upstreams that other seeds have, "tenants" these and the tenants, and
+ * "target" replaces both by the interface of the target platform. "deployed"
+ * adds the silence times of a deployment and nodes with a part of a core; of
+ * the seeds on the command line, every third one is played so. A line that
+ * begins with "#" is a comment. A seed always draws the same faults. Which of
+ * these faults are injected depends on the state of the nodes at that time.
  */
 
 enum {
@@ -31,10 +32,15 @@
 	 * rate does not: at most 0.8 requests per ms. */
 	KEEPALIVE_GAP_PER_NODE_MS = 5,
 	IN_FLIGHT_MAX = 4000,
-	SETTINGS_SIZE = 256,
+	SETTINGS_SIZE = 512,
 	/* Bodies and buffers of the target platform's seeds. */
 	TARGET_BODY_BYTES = 6000,
 	SMALL_BUFFER_BYTES = 4096,
+	/* Callers of the deployed seeds. */
+	DEPLOYED_KEEPALIVE_PER_NODE = 6,
+	LONG_BODY_BYTES = 24000,
+	PIECE_BYTES = 4000,
+	PIECE_GAP_US = 2 * US_PER_MS,
 	LINE_SIZE = 256,
 	NUMBER_SIZE = 16,
 };
@@ -73,6 +79,38 @@
 	}
 }
 
+/* Requests that run long, with large bodies and answers. Kinds of connections
+ * that are kept precede the others. */
+static void use_deployed_callers(struct load_options *options)
+{
+	static const struct load_kind kinds[] = {
+		{ .name = "long seal",
+		  .method = "POST",
+		  .path = "/seal/2?bytes=30000&service_us=200000",
+		  .service = "seal-desk",
+		  .body_bytes = LONG_BODY_BYTES,
+		  .non_idempotent = true,
+		  .deadline_ms = SOAK_DEADLINE_MS,
+		  .keepalive = true },
+		{ .name = "long read",
+		  .method = "GET",
+		  .path = "/read/2?bytes=30000&service_us=200000",
+		  .service = "seal-desk",
+		  .deadline_ms = SOAK_DEADLINE_MS,
+		  .keepalive = true },
+	};
+	const uint32_t count = sizeof(kinds) / sizeof(kinds[0]);
+
+	memmove(&options->kinds[count], options->kinds,
+		options->kind_count * sizeof(options->kinds[0]));
+	memcpy(options->kinds, kinds, sizeof(kinds));
+	options->kind_count += count;
+	options->keepalive_per_target = DEPLOYED_KEEPALIVE_PER_NODE;
+	options->piece_bytes = PIECE_BYTES;
+	options->piece_gap_us = PIECE_GAP_US;
+	options->receive_bytes = SMALL_BUFFER_BYTES;
+}
+
 static bool start_load(struct soak *soak, uint64_t seed)
 {
 	static const struct load_kind kinds[] = {
@@ -134,6 +172,8 @@
 	options.kind_count = sizeof(kinds) / sizeof(kinds[0]);
 	if (soak->target_platform)
 		use_target_platform(&options);
+	if (soak->deployed)
+		use_deployed_callers(&options);
 	if (soak->upstream_faults)
 		add_crashing_kinds(&options);
 	if (soak->tenants.on)
@@ -151,11 +191,12 @@
 	uint32_t i;
 
 	for (i = 0; ok && i < steps; i++, soak->step++) {
-		load_run(&soak->load, SOAK_STEP_MS);
+		soak_run_step(soak);
 		if (!random_below(&soak->random, FAULT_INTERVAL_STEPS))
 			soak_inject_fault(soak);
 		soak_disturb_upstreams(soak);
 		soak_disturb_answers(soak);
+		soak_disturb_planned(soak);
 		soak_continue_series(soak);
 		soak_count_forgotten(soak);
 		ok = soak_end_faults(soak);
@@ -193,14 +234,16 @@
 	bool linger = seed / 2 % 2 == 0;
 	bool large = seed / 4 % 2 == 0;
 
-	soak->tolerates_silence = seed % 2 == 0;
+	soak->tolerates_silence = seed % 2 == 0 && !soak->deployed;
 	snprintf(
 		settings, SETTINGS_SIZE,
 		"[call]\ndrain_ms = %d\nlinger_ms = %d\nkeep_upstream_ms = %d\n"
-		"%s%s",
+		"%s%s%s",
 		SOAK_DRAIN_MS, linger ? SOAK_LINGER_MS : 0,
 		linger ? SOAK_LINGER_MS / 2 : 0,
 		soak->tolerates_silence ? "silence_ms = 60000\n" : "",
+		soak->deployed ? "silence_ms = 250\nconnect_timeout_ms = 500\n"
+			       : "",
 		large ? "shared_retries = true\n[route]\nlocal_subset = 2\n"
 			"remote_subset = 2\n"
 		      : "");
@@ -256,7 +299,8 @@
 	EXTRAS_NONE,
 	EXTRAS_UPSTREAMS,
 	EXTRAS_TENANTS,
-	EXTRAS_TARGET, /* the target platform and faults of answers alone */
+	EXTRAS_TARGET,	 /* the target platform and faults of answers alone */
+	EXTRAS_DEPLOYED, /* these, and what DOC: soak says of deployed seeds */
 };
 
 static void run_seed(uint64_t seed, uint32_t steps, uint32_t nodes,
@@ -266,14 +310,16 @@
 	char settings[SETTINGS_SIZE];
 	char down_ms[NUMBER_SIZE];
 	char buffer_bytes[NUMBER_SIZE];
-	bool small_buffers = extras == EXTRAS_TARGET && seed / 6 % 2;
+	bool target = extras == EXTRAS_TARGET || extras == EXTRAS_DEPLOYED;
+	bool small_buffers = target && seed / 6 % 2;
 	const struct cluster_options options = {
 		.centres = SOAK_CENTRES,
 		.nodes = nodes,
 		.services = { "seal-desk" },
 		.profile = "default",
 		.settings = settings,
-		.target_platform = extras == EXTRAS_TARGET,
+		.target_platform = target,
+		.accounts = true,
 		.upstream_args = { "--service-us", "10000", "--spread",
 				   "exponential", "--down-ms", down_ms,
 				   "--buffer-bytes", buffer_bytes },
@@ -286,12 +332,15 @@
 	fflush(stdout);
 	memset(&soak, 0, sizeof(soak));
 	soak.count = nodes;
-	soak.target_platform = extras == EXTRAS_TARGET;
+	soak.seed = seed;
+	soak.target_platform = target;
+	soak.deployed = extras == EXTRAS_DEPLOYED;
 	soak.upstream_faults = extras == EXTRAS_UPSTREAMS ||
 			       extras == EXTRAS_TENANTS;
 	soak.tenants.on = extras == EXTRAS_TENANTS;
 	random_init(&soak.random, seed);
 	random_init(&soak.upstream_random, ~seed);
+	random_init(&soak.pause_random, seed ^ INT32_MAX);
 	snprintf(down_ms, sizeof(down_ms), "%d", SOAK_DOWN_MS);
 	snprintf(buffer_bytes, sizeof(buffer_bytes), "%d",
 		 small_buffers ? SMALL_BUFFER_BYTES : 0);
@@ -329,6 +378,8 @@
 		*extras = EXTRAS_TENANTS;
 	else if (!strcmp(word, "target"))
 		*extras = EXTRAS_TARGET;
+	else if (!strcmp(word, "deployed"))
+		*extras = EXTRAS_DEPLOYED;
 	return !*word || *extras;
 }
 
@@ -346,7 +397,7 @@
 	count = sscanf(line, "%llu %u %u %15s", &seed, &steps, &nodes, word);
 	if (bench_must(count >= 3 && parse_extras(word, &extras),
 		       "each line of the seed file is \"SEED STEPS NODES "
-		       "[upstreams|tenants|target]\"") &&
+		       "[upstreams|tenants|target|deployed]\"") &&
 	    check_node_count(nodes))
 		run_seed(seed, steps, nodes, extras);
 }
@@ -376,6 +427,6 @@
 		run_file(argv[6]);
 	for (i = 0; check_node_count(nodes) && i < seeds; i++)
 		run_seed(seed + i, steps, nodes,
-			 (seed + i) % 3 ? EXTRAS_TENANTS : EXTRAS_TARGET);
+			 (seed + i) % 3 ? EXTRAS_TENANTS : EXTRAS_DEPLOYED);
 	return bench_status();
 }
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -4,6 +4,7 @@
 #include "base/random.h"
 #include "common.h"
 #include "fleet/load.h"
+#include "promises/promises.h"
 
 /**
  * DOC: soak
@@ -19,6 +20,11 @@
  *
  * A seed has two parts. In the first part, faults of all kinds overlap. In the
  * second part only planned changes are made: these must not abort a request.
+ *
+ * Deployed seeds use the interface of the target platform and the silence times
+ * of a deployment. In their second part nodes get a part of a core and are
+ * paused for up to 1.5 s, and callers send bodies in pieces and read answers
+ * through small buffers.
  */
 
 enum {
@@ -27,6 +33,8 @@
 	/* With the upstreams and the platform about 140 processes. */
 	SOAK_NODES_MAX = 68,
 	SOAK_STEP_MS = 50,
+	/* Pauses begin and end between slices of a step. */
+	SOAK_SLICE_MS = 10,
 	/* Longest deadline of a request. A stopping node drains for at least
 	 * this time plus the time in which the answer reaches the caller, so
 	 * that the node abandons no request before the caller does. */
@@ -102,6 +110,34 @@
 	int64_t state_deadline_us;
 };
 
+/**
+ * struct soak_pause - pauses of one node in the second part of a deployed seed
+ * @pid: process that the pauses apply to
+ * @until_us: end of a single pause, monotonic clock
+ * @slow_until_us: end of the time in which the node has a part of a core
+ * @running_slices: slices of each period in which it runs meanwhile
+ * @stopped_us: time at which it was stopped; 0 while it runs
+ */
+struct soak_pause {
+	pid_t pid;
+	int64_t until_us;
+	int64_t slow_until_us;
+	uint32_t running_slices;
+	int64_t stopped_us;
+};
+
+/**
+ * struct soak_note - a fault or a planned change, for the pages of requests
+ * @node: index of the node
+ */
+struct soak_note {
+	int64_t at_us;
+	uint32_t node;
+	const char *what;
+};
+
+enum { SOAK_NOTES_MAX = 16384 };
+
 /**
  * struct series - a planned change that is applied to one node after the other
  * @remaining: number of changes still to make; 0 if no series is active
@@ -152,6 +188,14 @@
  *	without these faults draw the same other faults as ever
  * @target_platform: all use the interface of the target platform, and upstreams
  *	reject, repeat and lose answers; drawn from @upstream_random
+ * @deployed: see DOC: soak
+ * @pauses: by node, with @deployed
+ * @pause_random: draws the pauses and the changes that only deployed seeds have
+ * @slice: number of the current slice in the second part
+ * @stop_when_started: by node: it is stopped as soon as it has started
+ * @seed: the seed
+ * @notes: faults and planned changes, the oldest first
+ * @note_count: number of @notes; later ones are not kept
  * @document_version: version written last, with @target_platform
  * @leaving_until: by upstream: step at which an upstream that told its leaving
  *	ends; 0: it has not told it
@@ -180,6 +224,14 @@
 	bool upstream_faults;
 	struct random upstream_random;
 	bool target_platform;
+	bool deployed;
+	struct soak_pause pauses[SOAK_NODES_MAX];
+	struct random pause_random;
+	uint64_t slice;
+	bool stop_when_started[SOAK_NODES_MAX];
+	uint64_t seed;
+	struct soak_note notes[SOAK_NOTES_MAX];
+	uint32_t note_count;
 	uint64_t document_version;
 	uint32_t leaving_until[SOAK_NODES_MAX];
 	bool none_runs;
@@ -200,6 +252,38 @@
 /** soak_inject_fault() - draws a fault and injects it if currently possible. */
 void soak_inject_fault(struct soak *soak);
 
+/** soak_note() - notes a fault or a planned change of node @i. */
+void soak_note(struct soak *soak, uint32_t i, const char *what);
+
+/** soak_stop_node() - sends SIGTERM to node @i. */
+void soak_stop_node(struct soak *soak, uint32_t i);
+
+/** soak_reload_node() - sends SIGHUP to node @i if it handles the signal. */
+void soak_reload_node(struct soak *soak, uint32_t i);
+
+/** soak_run_step() - keeps the load running for a step, and pauses nodes. */
+void soak_run_step(struct soak *soak);
+
+/** soak_disturb_planned() - draws a pause or a change of a deployed seed. */
+void soak_disturb_planned(struct soak *soak);
+
+/** soak_end_pauses() - ends all pauses of deployed seeds. */
+void soak_end_pauses(struct soak *soak);
+
+/** soak_judge_request() - request @index as its caller saw it. */
+void soak_judge_request(const struct soak *soak, uint32_t index,
+			struct promise_request *request);
+
+/**
+ * soak_write_page() - writes all that is known of a request to a file
+ * @account: sorted entries of all upstreams
+ *
+ * Prints the path of the file.
+ */
+void soak_write_page(const struct soak *soak, uint32_t index,
+		     enum promise_rule rule,
+		     const struct promise_account *account);
+
 /** soak_disturb_upstreams() - draws a fault of an upstream and injects it. */
 void soak_disturb_upstreams(struct soak *soak);
 
