call: a drain waits for the query of an answer that was not delivered

What callers saw: 502 peer-lost for requests that had run, some of which must not be repeated, around a stop of the node beside the upstream, with up to 2 s left.

Cause: the connection between two nodes is lost while a request runs, because one of them does not run for longer than silence_ms. The node beside the upstream keeps the answer for a query of the caller's node. If it is stopping, its drain waits for attempts in progress and for answers being sent, but not for an answer that is kept: the process ends, and the caller's node, which runs again or queries each 320 ms, finds a new incarnation that cannot know the request.

Now an answer counts as undelivered if its attempt had no connection when it ended, or if its connection is lost within 250 ms of sending. A drain waits for its query until the deadline of the request, and never beyond drain_ms.

Left as it was: an answer that is lost more than 250 ms after it was sent, and drain_ms as the bound.

--- a/src/call/answer_stream.c
+++ b/src/call/answer_stream.c
@@ -164,6 +164,7 @@
 		send_answer_lost(server, peer, entry->id);
 		return;
 	}
+	recent_sent(&server->recent, entry, loop_now_us(server->options.loop));
 	if (send_head(server, peer, entry->id, stored) &&
 	    stored->body_bytes > CALL_PART_BYTES)
 		answer_stream_begin(server, peer, entry->id, CALL_PART_BYTES);
--- a/src/call/inbound.c
+++ b/src/call/inbound.c
@@ -114,11 +114,14 @@
 	count_end(outcome->verdict);
 	entry->answer_expires_us =
 		inbound->context.deadline_us + ANSWER_MARGIN_US;
+	entry->deadline_us = inbound->context.deadline_us;
 	recent_expire(&server->recent, now(server));
 	recent_end(&server->recent, entry, outcome, stored, stored_bytes);
 	inbound_free(inbound);
 	if (peer)
 		answer_stream_start(server, peer, entry);
+	else
+		recent_undelivered(&server->recent, entry);
 }
 
 static void record_latency(const struct inbound *inbound, const char *outcome,
--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -365,6 +365,45 @@
 	path_teardown();
 }
 
+/* Guards against 502 for a request whose answer a stopping node keeps for its
+ * caller's node, if that node is paused until the stopping node has ended. */
+Test(link, a_drain_waits_for_the_query_of_an_answer_that_was_not_delivered)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	struct path_result *result;
+	int i;
+
+	path_setup();
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	/* The caller's node is paused: it neither sends nor queries. */
+	path.a.calls.caller.options.silence_us = 60 * 1000 * US_PER_MS;
+	for (i = 0; i < PATH_TURNS && path.b.calls.server.peers; i++) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_assert_null(path.b.calls.server.peers, "it is silent");
+	path_release("one");
+	calls_drain(&path.b.calls, 60000);
+	for (i = 0; i < PATH_TURNS / 4; i++) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_expect_eq(path.b.drained, 0);
+	path_stall(false, false);
+	path_wait(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	path_wait(&path.b.drained, 1, "drained");
+	path_teardown();
+}
+
 Test(link, requests_past_the_drain_time_are_cancelled_with_a_verdict)
 {
 	struct path_result *result;
--- a/src/call/recent.c
+++ b/src/call/recent.c
@@ -119,8 +119,23 @@
 		DL_APPEND(recent->idle, caller);
 }
 
+static void set_undelivered(struct recent *recent, struct recent_entry *entry,
+			    bool undelivered)
+{
+	if (entry->is_undelivered == undelivered)
+		return;
+	entry->is_undelivered = undelivered;
+	if (undelivered)
+		DL_APPEND2(recent->undelivered, entry, undelivered_prev,
+			   undelivered_next);
+	else
+		DL_DELETE2(recent->undelivered, entry, undelivered_prev,
+			   undelivered_next);
+}
+
 static void answer_discard(struct recent *recent, struct recent_entry *entry)
 {
+	set_undelivered(recent, entry, false);
 	recent->answer_bytes -= entry->answer_bytes;
 	free(entry->answer);
 	entry->answer = NULL;
@@ -245,6 +260,45 @@
 	return fits;
 }
 
+void recent_sent(struct recent *recent, struct recent_entry *entry,
+		 int64_t now_us)
+{
+	entry->sent_us = now_us;
+	set_undelivered(recent, entry, false);
+}
+
+void recent_undelivered(struct recent *recent, struct recent_entry *entry)
+{
+	if (entry->answer)
+		set_undelivered(recent, entry, true);
+}
+
+void recent_connection_lost(struct recent *recent,
+			    const struct recent_caller *caller,
+			    int64_t since_us)
+{
+	struct recent_entry *entry = recent->ended ? recent->ended->prev : NULL;
+
+	/* Attempts end about in the order in which their answers are sent. */
+	while (entry && (!entry->sent_us || entry->sent_us >= since_us)) {
+		if (entry->caller == caller && entry->sent_us)
+			recent_undelivered(recent, entry);
+		if (entry == recent->ended)
+			break;
+		entry = entry->prev;
+	}
+}
+
+bool recent_is_awaited(const struct recent *recent, int64_t now_us)
+{
+	const struct recent_entry *entry;
+
+	DL_FOREACH2(recent->undelivered, entry, undelivered_next)
+	if (entry->deadline_us > now_us)
+		return true;
+	return false;
+}
+
 void recent_expire(struct recent *recent, int64_t now_us)
 {
 	while (recent->answered &&
--- a/src/call/recent.h
+++ b/src/call/recent.h
@@ -63,6 +63,13 @@
  * @answer_expires_us: time after which no node queries the answer, in
  *	microseconds of the monotonic clock; set by the owner before the
  *	attempt ends
+ * @sent_us: time at which the answer was last sent to the caller's node, in
+ *	microseconds of the monotonic clock; 0 if it was not
+ * @deadline_us: time after which the caller's node does not wait for the
+ *answer, in microseconds of the monotonic clock; set by the owner before the
+ *	attempt ends
+ * @is_undelivered: the answer may not have reached the caller's node; the entry
+ *	is linked by @undelivered_next
  * @chain: next entry of the same hash bucket
  */
 struct recent_entry {
@@ -73,9 +80,14 @@
 	void *answer;
 	size_t answer_bytes;
 	int64_t answer_expires_us;
+	int64_t sent_us;
+	int64_t deadline_us;
+	bool is_undelivered;
 	struct recent_caller *caller;
 	struct recent_entry *next;
 	struct recent_entry *prev;
+	struct recent_entry *undelivered_next;
+	struct recent_entry *undelivered_prev;
 	struct recent_entry *chain;
 };
 
@@ -98,6 +110,7 @@
 	uint32_t buckets;
 	struct recent_entry *ended;    /* oldest first */
 	struct recent_entry *answered; /* next answer to discard, or NULL */
+	struct recent_entry *undelivered;
 	uint32_t ended_count;
 	uint32_t running_count;
 	size_t answer_bytes;
@@ -159,6 +172,32 @@
 		const struct call_outcome *outcome, void *answer,
 		size_t answer_bytes);
 
+/** recent_sent() - records that the answer of an ended attempt was sent. */
+void recent_sent(struct recent *recent, struct recent_entry *entry,
+		 int64_t now_us);
+
+/**
+ * recent_undelivered() - records that the answer of an ended attempt has not
+ *	reached the caller's node
+ */
+void recent_undelivered(struct recent *recent, struct recent_entry *entry);
+
+/**
+ * recent_connection_lost() - records the loss of a connection of a caller
+ *
+ * Answers that were sent to the caller at @since_us or later may not have
+ * reached it.
+ */
+void recent_connection_lost(struct recent *recent,
+			    const struct recent_caller *caller,
+			    int64_t since_us);
+
+/**
+ * recent_is_awaited() - returns true if a caller's node may query an answer
+ *that may not have reached it, before its deadline
+ */
+bool recent_is_awaited(const struct recent *recent, int64_t now_us);
+
 /**
  * recent_expire() - frees expired answers
  *
--- a/src/call/recent_test.c
+++ b/src/call/recent_test.c
@@ -154,3 +154,75 @@
 		     "the entry outlives its answer");
 	recent_finish(&recent);
 }
+
+/* Guards against a drain that ends while an answer may not have reached the
+ * caller's node: no other process could tell that node that its request ran. */
+Test(recent, a_drain_waits_for_answers_that_were_not_delivered)
+{
+	enum { OTHER = 8, DEADLINE_US = 1000, LOST_US = 500, SINCE_US = 400 };
+	static const struct {
+		const char *name;
+		uint64_t caller;
+		int64_t sent_us; /* 0: its connection was lost before */
+		int64_t sent_again_us;
+		size_t answer_bytes;
+		int64_t now_us;
+		bool awaited;
+	} cases[] = {
+		{ "lost before the answer", CALLER, 0, 0, 10, LOST_US, true },
+		{ "lost after the answer", CALLER, 450, 0, 10, LOST_US, true },
+		{ "lost long after", CALLER, 300, 0, 10, LOST_US, false },
+		{ "another caller's", OTHER, 450, 0, 10, LOST_US, false },
+		{ "queried", CALLER, 0, 510, 10, LOST_US, false },
+		{ "queried after a loss", CALLER, 450, 510, 10, LOST_US,
+		  false },
+		{ "without an answer", CALLER, 0, 0, 0, LOST_US, false },
+		{ "past its deadline", CALLER, 0, 0, 10, DEADLINE_US, false },
+	};
+	struct recent_caller *caller;
+	struct recent_entry *entry;
+	struct recent recent;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		recent_init(&recent, &limits);
+		caller = recent_caller_acquire(&recent, CALLER);
+		run_and_end(&recent, cases[i].caller, 1, cases[i].answer_bytes);
+		recent_lookup(&recent, id_of(cases[i].caller, 1),
+			      RECENT_QUERIED, &entry);
+		entry->deadline_us = DEADLINE_US;
+		if (cases[i].sent_us)
+			recent_sent(&recent, entry, cases[i].sent_us);
+		else
+			recent_undelivered(&recent, entry);
+		recent_connection_lost(&recent, caller, SINCE_US);
+		if (cases[i].sent_again_us)
+			recent_sent(&recent, entry, cases[i].sent_again_us);
+		cr_expect_eq(recent_is_awaited(&recent, cases[i].now_us),
+			     cases[i].awaited, "%s", cases[i].name);
+		recent_caller_release(&recent, caller);
+		recent_finish(&recent);
+	}
+}
+
+/* Guards against a list of undelivered answers that holds discarded ones. */
+Test(recent, a_discarded_answer_is_not_awaited)
+{
+	struct recent_entry *entry;
+	struct recent recent;
+	uint64_t i;
+
+	recent_init(&recent, &limits);
+	for (i = 1; i <= ENTRIES; i++) {
+		run_and_end(&recent, CALLER, i, 10);
+		recent_lookup(&recent, id_of(CALLER, i), RECENT_QUERIED,
+			      &entry);
+		entry->deadline_us = 1000;
+		recent_undelivered(&recent, entry);
+	}
+	cr_expect(recent_is_awaited(&recent, 0));
+	for (i = 1; i <= ENTRIES; i++)
+		run_and_end(&recent, CALLER, ENTRIES + i, 0);
+	cr_expect_not(recent_is_awaited(&recent, 0));
+	recent_finish(&recent);
+}
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -16,6 +16,12 @@
 	COLD_START_MS = 3000,
 };
 
+enum {
+	/* An answer that was sent so long before its connection was lost has
+	 * reached the caller's node. */
+	DELIVERY_MAX_US = 250 * US_PER_MS,
+};
+
 COUNTER(received, "call.served", "Calls that came in for the own upstream");
 COUNTER(queries, "call.asked_about",
 	"Calls asked about after their connection was lost");
@@ -233,6 +239,8 @@
 {
 	peer_connection_lost(peer);
 	answer_stream_drop_all(peer);
+	recent_connection_lost(&server->recent, peer->caller,
+			       now(server) - DELIVERY_MAX_US);
 	recent_caller_release(&server->recent, peer->caller);
 	DL_DELETE(server->peers, peer);
 	free(peer);
@@ -466,7 +474,8 @@
 {
 	const struct serve_peer *peer;
 
-	if (server->inbound_attempts || server->local.answer_streams)
+	if (server->inbound_attempts || server->local.answer_streams ||
+	    recent_is_awaited(&server->recent, now(server)))
 		return false;
 	DL_FOREACH(server->peers, peer)
 		if (peer->answer_streams ||
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -177,7 +177,12 @@
  */
 const struct request_stats *serve_request_stats(struct server *server);
 
-/** serve_idle() - returns true if no attempt and no answer is pending. */
+/**
+ * serve_idle() - returns true if no attempt and no answer is pending
+ *
+ * An answer that may not have reached the caller's node is pending until its
+ * deadline: only this process can tell the caller's node that the request ran.
+ */
 bool serve_idle(const struct server *server);
 
 /** serve_dump() - returns the state as JSON, owned by the caller. */
