soak: callers that give up, GONE while nodes are in touch

One kept request of ten in deployed seeds is given up within a second. LOST leaves these out; GONE is judged for those between the two parts of a seed, when all nodes have run undisturbed for a second, since the rule holds for nodes in touch only. The rows of promises/* hold both sides.

--- a/soak/checks.c
+++ b/soak/checks.c
@@ -19,12 +19,14 @@
  *	which is allowed if nodes have a short silence timeout and the seed is
  *	not a deployed one; not included in @broken
  * @planned: number of requests sent under planned changes only
+ * @given_up: number of requests that were given up while nodes were in touch
  * @pages: number of pages written
  */
 struct findings {
 	uint32_t broken[PROMISE_RULES];
 	uint32_t peer_lost;
 	uint32_t planned;
+	uint32_t given_up;
 	uint32_t pages;
 };
 
@@ -35,12 +37,26 @@
 		return PROMISE_NOT_SENT;
 	case LOAD_PENDING:
 	case LOAD_ABORTED:
+		if (record->gave_up)
+			return PROMISE_GAVE_UP;
 		return record->timed_out ? PROMISE_WAITED : PROMISE_CLOSED;
 	default:
 		return PROMISE_ANSWERED;
 	}
 }
 
+/* All nodes run undisturbed for SOAK_SETTLE_MS before the second part. */
+static bool is_in_touch(const struct soak *soak,
+			const struct load_record *record)
+{
+	int64_t from_us = soak->planned_from_us - SOAK_SETTLE_MS * US_PER_MS;
+
+	return soak->planned_from_us &&
+	       record->sent_us >= from_us + SOAK_CALM_MS * US_PER_MS &&
+	       record->sent_us + record->latency_us + PROMISE_GONE_US <
+		       soak->planned_from_us;
+}
+
 /*
  * The caller starts to measure the time before the node does. If the answer
  * reaches the caller before the deadline, the node therefore sent the answer
@@ -57,6 +73,7 @@
 		.may_repeat = !kind->non_idempotent,
 		.planned = soak->planned_from_us &&
 			   record->sent_us >= soak->planned_from_us,
+		.in_touch = is_in_touch(soak, record),
 		.read = record->request_read,
 		.stamped = record->stamped,
 		.own_body = !record->mismatched,
@@ -90,6 +107,8 @@
 
 	soak_judge_request(soak, index, &request);
 	findings->planned += request.planned;
+	findings->given_up += request.in_touch &&
+			      request.end == PROMISE_GAVE_UP;
 	entries =
 		promise_find(account, load_id(&soak->load, index, id), &count);
 	for (i = 0; i < PROMISE_RULES; i++) {
@@ -139,8 +158,8 @@
 	for (i = 0; i < PROMISE_RULES; i++)
 		bench_must(!findings.broken[i], promises[i]);
 	printf("  under planned changes only: %u requests, %u with a lost "
-	       "peer; broken promises:",
-	       findings.planned, findings.peer_lost);
+	       "peer; given up in touch: %u; broken promises:",
+	       findings.planned, findings.peer_lost, findings.given_up);
 	for (i = 0; i < PROMISE_RULES; i++)
 		printf(" %s %u", promise_rule_name((enum promise_rule)i),
 		       findings.broken[i]);
--- a/soak/pages.c
+++ b/soak/pages.c
@@ -94,8 +94,9 @@
 		  "%s after %" PRId64 " us: status %u, reason \"%s\", mark of "
 		  "an upstream %d, read by the node %d",
 		  record->outcome == LOAD_ABORTED
-			  ? (record->timed_out ? "closes"
-					       : "sees the connection end")
+			  ? (record->timed_out || record->gave_up
+				     ? "closes"
+				     : "sees the connection end")
 			  : "gets an answer",
 		  record->latency_us, record->status, record->reason,
 		  record->stamped, record->request_read);
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -41,10 +41,13 @@
 	LONG_BODY_BYTES = 24000,
 	PIECE_BYTES = 4000,
 	PIECE_GAP_US = 2 * US_PER_MS,
+	GIVE_UP_MAX_MS = 1000,
 	LINE_SIZE = 256,
 	NUMBER_SIZE = 16,
 };
 
+static const double give_up_share = 0.1;
+
 static void add_crashing_kinds(struct load_options *options)
 {
 	static const char *const paths[SOAK_CRASHING_KINDS] = {
@@ -109,6 +112,8 @@
 	options->piece_bytes = PIECE_BYTES;
 	options->piece_gap_us = PIECE_GAP_US;
 	options->receive_bytes = SMALL_BUFFER_BYTES;
+	options->give_up_share = give_up_share;
+	options->give_up_max_ms = GIVE_UP_MAX_MS;
 }
 
 static bool start_load(struct soak *soak, uint64_t seed)
--- a/soak/soak.h
+++ b/soak/soak.h
@@ -45,6 +45,8 @@
 	/* Time after the last fault in which callers may still notice the
 	 * fault. */
 	SOAK_SETTLE_MS = 3000,
+	/* Part of this time after which callers no longer notice it. */
+	SOAK_CALM_MS = 1000,
 	/* Extra time in which a node that starts or stops must finish. */
 	SOAK_PROCESS_GRACE_MS = 3000,
 	/* Time for a node to start, and for all nodes to converge after the
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -98,6 +98,8 @@
  * @piece_bytes: such a caller sends a request in pieces of this size; 0 sends
  *it at once
  * @piece_gap_us: time between two pieces
+ * @give_up_share: share of the requests of such callers that are given up at a
+ *	random time, at most @give_up_max_ms after they were sent
  * @receive_bytes: size of the receive buffer of such a caller; 0 for the usual
  *	size
  */
@@ -121,6 +123,8 @@
 	int64_t keepalive_timeout_ms;
 	size_t piece_bytes;
 	int64_t piece_gap_us;
+	double give_up_share;
+	int64_t give_up_max_ms;
 	int receive_bytes;
 };
 
@@ -145,6 +149,7 @@
  * @status: status of the answer, if there was one
  * @mismatched: the answer belongs to another request
  * @timed_out: the caller closed the connection after its timeout
+ * @gave_up: the caller closed the connection before its timeout
  * @request_read: aborted on a keep-alive connection after the target's process
  *	had read the request or started the answer; for other aborted requests
  *	it is unknown whether they were read
@@ -162,6 +167,7 @@
 	unsigned int status;
 	bool mismatched;
 	bool timed_out;
+	bool gave_up;
 	bool request_read;
 	bool stamped;
 	char reason[LOAD_REASON_SIZE];
--- a/test/promises/promises.h
+++ b/test/promises/promises.h
@@ -101,6 +101,8 @@
  * struct promise_request - a request as its caller saw it
  * @may_repeat: it may run more than once
  * @planned: only planned work was done from some time before it to its end
+ * @in_touch: nothing was done to the nodes from some time before it to some
+ *time after its end
  * @read: the node is known to have read the whole request
  * @stamped: the answer bears the mark of an upstream
  * @own_body: the body of the answer is that of this request
@@ -113,6 +115,7 @@
 	enum promise_end end;
 	bool may_repeat;
 	bool planned;
+	bool in_touch;
 	bool read;
 	bool stamped;
 	bool own_body;
@@ -136,7 +139,7 @@
 	 * failure of an upstream keeps its status. */
 	PROMISE_MIXED,
 	/* A request whose caller has left reaches no upstream, and one that may
-	 * be repeated is not worked on. */
+	 * be repeated is not worked on; by nodes in touch. */
 	PROMISE_GONE,
 	PROMISE_RULES,
 };
