call: an answer between two queries is taken

What callers saw: 502 peer-lost for requests that had run and whose answer had reached the node of the caller, with 1.2 to 1.9 s left, around a stop of the node beside the upstream.

Cause: a connection that falls silent stays open for late answers while the caller's node queries the attempt on new ones. Between two queries, for 40 to 320 ms, the call has no connection, and every frame for a call without one counted as late and was dropped. As a rule the next query fetched the answer again; a node that was paused while it stopped sent its answer on the old connection, which counts as delivered, and ended before that query.

Now a call that waits for its next query takes an answer or a refusal from any connection of its attempt. The result of a query is still dropped then, since it would end the wait without a connection.

Ruled out: bytes that the ended process had not written or the kernel had not delivered (connections_left: none undelivered; in seed 132 54 unwritten bytes on five connections).

--- a/src/call/link_test.c
+++ b/src/call/link_test.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "call/outbound_call.h"
 #include "call/path_test.h"
 #include "os/clock.h"
 #include "os/net.h"
@@ -365,6 +366,50 @@
 	path_teardown();
 }
 
+/* Guards against an answer that is dropped because it comes on the silent
+ * connection while its call waits to send the next query. */
+Test(link, an_answer_between_two_queries_is_taken)
+{
+	enum { LONG_GAP_QUERIES = 3 };
+	const struct http_header headers[] = { { HEADER_DEADLINE, "60000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	struct path_result *result;
+	const struct call *call;
+	int i;
+
+	path_setup();
+	/* The node beside the upstream does not close the connection. */
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.a.calls.caller.options.retire_us = 60 * 1000 * US_PER_MS;
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	call = path.a.calls.caller.calls;
+	for (i = 0;
+	     i < PATH_TURNS && !result->answers &&
+	     (call->peer || call->call_attempts.query_count < LONG_GAP_QUERIES);
+	     i++) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_assert_eq(result->answers, 0);
+	cr_assert_null(call->peer);
+	path_release("one");
+	for (i = 0; i < PATH_TURNS / 4 && !result->answers; i++) {
+		path_stall(true, true);
+		watch_change(&path.relay.conns[0].watches[1], LOOP_READ);
+		path_run_turns(1);
+	}
+	cr_expect_eq(result->answers, 1);
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	path_teardown();
+}
+
 /* Guards against 502 for a request whose answer a stopping node keeps for its
  * caller's node, if that node is paused until the stopping node has ended. */
 Test(link, a_drain_waits_for_the_query_of_an_answer_that_was_not_delivered)
--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -506,11 +506,22 @@
 	assembly_result(call, assembly_head(&call->answer, answer));
 }
 
+/* Returns true if the call can handle the frame. Between two queries it has no
+ * connection, and its answer may still come on an earlier one. */
+static bool awaits_frame(const struct call *call,
+			 const struct call_frame *frame)
+{
+	if (call->peer)
+		return true;
+	return timer_is_set(&call->reconnect) &&
+	       frame->type != FRAME_QUERY_RESULT;
+}
+
 void caller_frame(struct caller *caller, const struct call_frame *frame)
 {
 	struct call *call = *find_bucket(caller, frame->id.sequence);
 
-	if (!call || !call->peer ||
+	if (!call || !awaits_frame(call, frame) ||
 	    frame->id.incarnation != caller->options.hub->self.incarnation) {
 		counter_add(&late, 1);
 		return;
