node: the times of a stop follow from the grace period

What callers saw: with a grace period of 10 s, a request of 3,500 ms under a deadline of 5,000 ms that was sent 1.5 s after SIGTERM got 502 at 5.0 s while its upstream worked on it. With a grace period of 3 or 4 s the platform would kill the process before its own times are over.

Cause: deploy/node.toml fixed linger_ms 2,300 and drain_ms 2,700, made for a grace period of 6 s. The platform names the period to the template.

Now call.grace_s gives linger_ms, keep_upstream_ms and drain_ms where these are not set: work may go on until LEAVING_OVERHEAD_MAX_MS before the kill, callers are served for 2.3 s (two readiness misses, one a second) or half of that time, the upstream for 0.3 s less. 6 s gives the former 2,300/2,000/2,700 ms, 10 s 2,300/2,000/6,700. Where the platform names no period, 6 s are taken as before.

The test examples/deployed_drain_times_suit_deadlines_and_the_grace_period read two lines of the template; it now completes the whole template as the platform does, for 3, 4, 6, 7.5, 10 and 30 s and for none, and keeps both of its bounds for 6 s. On the former template it fails: 5000 ms in place of 9000 (10 s), 29000 (30 s) and 6500 (7.5 s), and 5000 ms of work within 3 and 4 s. A grace period below 2 s cannot be kept with the present overhead; half of it goes to work.

--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #include "base/toml.h"
+#include "node/stop_times.h"
+#include "os/clock.h"
 
 enum { SETTINGS_MAX_BYTES = 256 * 1024 };
 
@@ -234,6 +236,31 @@
 			  "membership.link_interval_ms");
 }
 
+static bool is_set(const struct toml_node *root, const char *section,
+		   const char *key)
+{
+	const struct toml_node *table = toml_find(root, section);
+
+	return table && table->type == TOML_TABLE && toml_find(table, key);
+}
+
+/* The times of a stop that are not set follow from the grace period. */
+static void derive_stop_times(const struct toml_node *root,
+			      struct settings_call *call)
+{
+	int64_t grace_ms = (int64_t)(call->grace_s * MS_PER_S);
+
+	if (!grace_ms)
+		return;
+	if (!is_set(root, "call", "linger_ms"))
+		call->linger_ms = stop_times_linger_ms(grace_ms);
+	if (!is_set(root, "call", "keep_upstream_ms"))
+		call->keep_upstream_ms =
+			stop_times_keep_upstream_ms(call->linger_ms);
+	if (!is_set(root, "call", "drain_ms"))
+		call->drain_ms = stop_times_drain_ms(grace_ms, call->linger_ms);
+}
+
 /* An embedded zero byte would silently truncate the text. */
 static bool text_is_valid(const char *text, size_t size, struct faults *faults)
 {
@@ -277,6 +304,7 @@
 	check_seeds(root, &draft, faults);
 	check_secrets(root, &draft, faults);
 	check_relations(root, &draft, faults);
+	derive_stop_times(root, &draft.settings.call);
 	toml_free(root);
 	if (faults->count)
 		return false;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -208,6 +208,8 @@
  * @max_body_bytes: maximum size of the body of a request or an answer
  * @max_calls: maximum number of requests of callers in progress
  * @memory_max_bytes: maximum memory for bodies in progress
+ * @grace_s: time from the signal of a graceful shutdown until the process is
+ *	killed, in seconds; 0 if not known
  * @drain_ms: maximum time for work in progress during a graceful shutdown, in
  *	milliseconds
  * @linger_ms: time for which callers are still served during a graceful
@@ -252,6 +254,7 @@
 	int64_t max_body_bytes;
 	int64_t max_calls;
 	int64_t memory_max_bytes;
+	double grace_s;
 	int64_t drain_ms;
 	int64_t linger_ms;
 	int64_t keep_upstream_ms;
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -175,6 +175,11 @@
 	       "Callers' requests in progress; more are refused"),
 	NUMBER(call.memory_max_bytes, "memory_max_bytes", 1048576, 17179869184,
 	       "67108864", "Memory that bodies in progress may take"),
+	SCHEMA_FIELD_REAL(struct settings_draft, settings.call.grace_s,
+			  "grace_s", 0, 3600, "0",
+			  "Seconds from SIGTERM until this process is killed; "
+			  "linger_ms, keep_upstream_ms and drain_ms follow "
+			  "from them where they are not set; 0 if not known"),
 	NUMBER(call.drain_ms, "drain_ms", 0, 3600000, "30000",
 	       "How long work in progress may take when this node stops"),
 	NUMBER(call.linger_ms, "linger_ms", 0, 600000, "0",
--- a/test/functional/examples_test.c
+++ b/test/functional/examples_test.c
@@ -8,6 +8,7 @@
 #include "call/calls.h"
 #include "fleet/cluster.h"
 #include "node/leaving.h"
+#include "node/settings.h"
 
 /*
  * Runs the shipped examples: each node with its settings and an upstream, and
@@ -209,35 +210,134 @@
 		run_example(&examples[i]);
 }
 
-/* Returns the number that follows @name at the start of a line of
- * deploy/node.toml, the settings that the platform completes. */
-static long deployed_setting_ms(const char *name)
+/* Values of the fields with which the platform completes deploy/node.toml. */
+static const struct {
+	const char *field;
+	const char *value;
+} platform_fields[] = {
+	{ "{{zone|json}}", "\"hall\"" },
+	{ "{{node_id|json}}", "\"side-1\"" },
+	{ "{{service|json}}", "\"huvo\"" },
+	{ "{{bootstrap}}", "true" },
+	{ "{{limits.link_mbps}}", "1000" },
+	{ "{{ip}}", "127.0.0.1" },
+	{ "{{port_range.0}}", "1" },
+	{ "{{listen.outbound|json}}", "\"127.0.0.1:2\"" },
+	{ "{{listen.control|json}}", "\"127.0.0.1:3\"" },
+	{ "{{listen.ready|json}}", "\"127.0.0.1:4\"" },
+	{ "{{provider.address|json}}", "\"127.0.0.1:5\"" },
+	{ "{{app_addr|json}}", "\"127.0.0.1:6\"" },
+	{ "{{bounds.budget_slack}}", "58" },
+	{ "{{bounds.budget_window_s}}", "10" },
+	{ "{{heartbeat_interval_s}}", "1.5" },
+};
+
+/* Appends @line to @text with its placeholders replaced. */
+static void append_completed(char *text, const char *line, const char *grace_s)
+{
+	static const char grace_field[] = "{{bounds.grace_s}}";
+	size_t i;
+
+	while (*line) {
+		const char *value = NULL;
+		size_t size = 0;
+
+		if (!strncmp(line, grace_field, strlen(grace_field))) {
+			value = grace_s;
+			size = strlen(grace_field);
+		}
+		for (i = 0;
+		     !value &&
+		     i < sizeof(platform_fields) / sizeof(platform_fields[0]);
+		     i++) {
+			size = strlen(platform_fields[i].field);
+			if (!strncmp(line, platform_fields[i].field, size))
+				value = platform_fields[i].value;
+		}
+		cr_assert(value || strncmp(line, "{{", 2) != 0, "%s", line);
+		if (!value)
+			size = 1;
+		snprintf(text + strlen(text), TEXT_SIZE - strlen(text), "%.*s",
+			 value ? (int)strlen(value) : 1, value ? value : line);
+		line += size;
+	}
+}
+
+/* Reads the settings as the platform completes them; @grace_s is NULL if the
+ * platform names no grace period. */
+static void read_deployed(struct settings *settings, const char *grace_s)
 {
 	FILE *file = fopen("deploy/node.toml", "re");
-	char line[TEXT_SIZE];
-	long value = -1;
+	struct faults faults = { 0 };
+	char text[TEXT_SIZE] = "";
+	char line[512];
+	bool omitted = false;
 
 	cr_assert_not_null(file);
-	while (fgets(line, sizeof(line), file))
-		if (!strncmp(line, name, strlen(name)))
-			value = strtol(line + strlen(name), NULL, 10);
+	while (fgets(line, sizeof(line), file)) {
+		if (!strncmp(line, "{{/", 3))
+			omitted = false;
+		else if (!strncmp(line, "{{^", 3))
+			omitted = !strstr(line, "grace_s") || grace_s;
+		else if (!strncmp(line, "{{#", 3))
+			omitted = strstr(line, "grace_s") && !grace_s;
+		else if (!omitted)
+			append_completed(text, line, grace_s);
+		cr_assert_lt(strlen(text), TEXT_SIZE - sizeof(line));
+	}
 	fclose(file);
-	cr_assert_geq(value, 0, "no %s", name);
-	return value;
+	cr_assert(settings_parse(settings, text, strlen(text), &faults),
+		  "%u: %s", faults.items[0].line, faults.items[0].text);
 }
 
 /*
  * Guards against a drain time that is shorter than the deadlines of callers,
- * and against a shutdown that is longer than the 6 s before the platform kills
- * the node. Work in progress may take five sixths of them.
+ * and against a shutdown that is longer than the grace period, after which the
+ * platform kills the node. Work in progress may take five sixths of it.
  */
 Test(examples, deployed_drain_times_suit_deadlines_and_the_grace_period)
 {
-	enum { GRACE_MS = 6000, WORK_MS = GRACE_MS / 6 * 5, SLACK_MS = 300 };
-	long work_ms = deployed_setting_ms("linger_ms = ") +
-		       deployed_setting_ms("drain_ms = ");
+	enum { SLACK_MS = 300 };
+	static const struct {
+		const char *grace_s; /* NULL: not named */
+		long grace_ms;
+		long work_ms;
+	} cases[] = {
+		{ NULL, 6000, 6000 / 6 * 5 }, { "6", 6000, 6000 / 6 * 5 },
+		{ "10", 10000, 9000 },	      { "30", 30000, 29000 },
+		{ "7.5", 7500, 6500 },	      { "4", 4000, 3000 },
+		{ "3", 3000, 2000 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct settings settings;
+		long work_ms;
+
+		read_deployed(&settings, cases[i].grace_s);
+		work_ms = settings.call.linger_ms + settings.call.drain_ms;
+		cr_expect_geq(work_ms, cases[i].work_ms, "case %zu: %ld ms", i,
+			      work_ms);
+		cr_expect_leq(work_ms + CALLS_DRAIN_FLUSH_MS +
+				      LEAVING_DATAGRAMS_MS,
+			      cases[i].grace_ms - SLACK_MS, "case %zu: %ld ms",
+			      i, work_ms);
+	}
+}
+
+/* Guards against other times of a stop with a grace period of 6 s. */
+Test(examples, deployed_times_of_a_stop_within_six_seconds)
+{
+	static const char *const cases[] = { NULL, "6" };
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct settings settings;
 
-	cr_expect_geq(work_ms, WORK_MS);
-	cr_expect_leq(work_ms + CALLS_DRAIN_FLUSH_MS + LEAVING_DATAGRAMS_MS,
-		      GRACE_MS - SLACK_MS);
+		read_deployed(&settings, cases[i]);
+		cr_expect_eq(settings.call.linger_ms, 2300, "case %zu", i);
+		cr_expect_eq(settings.call.keep_upstream_ms, 2000, "case %zu",
+			     i);
+		cr_expect_eq(settings.call.drain_ms, 2700, "case %zu", i);
+	}
 }
