call: a stopping node takes no request that it could cut

It can happen here: during the linger time a node took every request, whatever its time limit, and cancelled it at the end of the drain time with 502 may-have-run. drain/a_stopping_node_takes_no_request_that_it_could_cut (two real nodes, 2.5 s of work, an unsafe request of 4.5 s under a deadline of 5 s) failed before: 502, may-have-run, the upstream had run it.

Now a stopping node compares the time limit of a request (the smallest of its deadline, call.deadline_ms and the timeout of its kind) with the time at which it cancels work. If the limit is later, the request gets 503 draining at once, unrun.

- A request that may not be repeated is refused strictly.
If it is cut, its caller can do nothing; if it is refused, the caller may come again, also to the restarted node.
- One that may be repeated is taken if four times the target time of its kind fit into the time left: it very probably completes, and its caller may repeat it if not.
Without a target time nothing is known of its length.
- A nested call that names its hops is always taken: the request in progress that has made it would fail without it.

What is refused now that was served before: with a grace period of 6 s, unsafe requests with a time limit above 5 s less the time since the signal, so above 2.7 to 5 s; with 10 s, above 6.7 to 9 s. Requests with shorter limits are not affected.

--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -20,7 +20,13 @@
 /* Largest share of the calls that may be ended for answers behind them. */
 #define HEAD_SHARE_MAX 0.1
 
-enum { DUMP_CALLS_MAX = 100, HEAD_BURST = 10 };
+enum {
+	DUMP_CALLS_MAX = 100,
+	HEAD_BURST = 10,
+	/* Times that the target time of a kind fits into the time left, for a
+	 * request that very probably completes in that time. */
+	STOP_TARGETS_MIN = 4,
+};
 
 COUNTER(started, "call.started", "Calls taken from callers");
 COUNTER(hung_up, "call.hung_up", "Calls whose caller hung up");
@@ -212,6 +218,29 @@
 	return true;
 }
 
+/*
+ * Ends the call if it may last longer than this stopping node. A request that
+ * may be repeated is taken if it very probably completes. One that may not is
+ * taken only if it cannot be cut: its caller could not send it again. A nested
+ * call is taken in any case, because the request in progress that has made it
+ * would fail without it.
+ */
+static bool end_if_cut_by_stop(struct call *call)
+{
+	const struct caller *caller = call->caller;
+	const struct kind *kind = call->kind;
+	int64_t left_us = caller->work_until_us - now(caller);
+
+	if (!caller->work_until_us || call->parsed.context.hops ||
+	    call->parsed.context.deadline_us <= caller->work_until_us)
+		return false;
+	if (kind->repeatable && kind->target_ms &&
+	    kind->target_ms * US_PER_MS * STOP_TARGETS_MIN <= left_us)
+		return false;
+	call_step_reason(call, ATTEMPT_EVENT_GIVE_UP, CALL_DRAINING);
+	return true;
+}
+
 const char *call_tenant_name(const struct call *call)
 {
 	return call->match.tenant ? call->match.tenant->name : NULL;
@@ -241,7 +270,7 @@
 		call_step_reason(call, ATTEMPT_EVENT_DEADLINE, CALL_DEADLINE);
 		return;
 	}
-	if (end_if_blocked(call))
+	if (end_if_cut_by_stop(call) || end_if_blocked(call))
 		return;
 	timer_set(call->caller->options.loop, &call->deadline,
 		  options.deadline_us);
--- a/src/call/caller.h
+++ b/src/call/caller.h
@@ -126,6 +126,8 @@
  * @tick_due_us: when @tick should expire
  * @push: timer for queueing further parts of request bodies
  * @stopping_us: time at which this node was asked to stop; 0 before
+ * @work_until_us: time at which the calls in progress of a stopping node are
+ *	cancelled; 0 before the stop
  * @draining: only requests of work already in progress are taken
  * @drained: no requests are taken
  */
@@ -151,6 +153,7 @@
 	int64_t tick_due_us;
 	struct timer push;
 	int64_t stopping_us;
+	int64_t work_until_us;
 	bool draining;
 	bool drained;
 };
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -291,9 +291,10 @@
 	serve_announce_leaving(&calls->server);
 }
 
-void calls_begin_leaving(struct calls *calls)
+void calls_begin_leaving(struct calls *calls, int64_t work_until_us)
 {
 	calls->caller.options.end_heads = false;
+	calls->caller.work_until_us = work_until_us;
 	calls->caller.stopping_us = loop_now_us(calls->options.loop);
 }
 
@@ -307,6 +308,7 @@
 	calls->caller.draining = true;
 	calls->server.draining = true;
 	calls->drain_until_us = now_us + drain_ms * US_PER_MS;
+	calls->caller.work_until_us = calls->drain_until_us;
 	serve_announce_leaving(&calls->server);
 	if (calls->options.callers)
 		http_server_disable_keep_alive(calls->options.callers);
--- a/src/call/calls.h
+++ b/src/call/calls.h
@@ -138,11 +138,13 @@
 
 /**
  * calls_begin_leaving() - this node stops soon
+ * @work_until_us: time at which remaining calls will be cancelled, in
+ *	microseconds of the monotonic clock
  *
- * Calls in progress are no longer ended for the sake of others: a planned stop
- * cuts nothing.
+ * No request is taken that would have to be cancelled then. Calls in progress
+ *are no longer ended for the sake of others: a planned stop cuts nothing.
  */
-void calls_begin_leaving(struct calls *calls);
+void calls_begin_leaving(struct calls *calls, int64_t work_until_us);
 
 /**
  * calls_drain() - take no new work and let calls in progress complete
--- a/src/call/held_answer_test.c
+++ b/src/call/held_answer_test.c
@@ -113,7 +113,7 @@
 		send_text(fd, SEAL_SOON);
 		path_wait(&path.upstream.ran, ran + 2, cases[i].name);
 		if (cases[i].leaving)
-			calls_begin_leaving(&path.a.calls);
+			calls_begin_leaving(&path.a.calls, INT64_MAX);
 		path_run_turns(PAST_DEADLINE_TURNS);
 		cr_expect_eq(path_counter("call.heads_ended"),
 			     ended + cases[i].ended, "%s", cases[i].name);
--- a/src/call/leaving_test.c
+++ b/src/call/leaving_test.c
@@ -5,6 +5,8 @@
 #include "call/names.h"
 #include "os/clock.h"
 
+#define COUNT(a) (sizeof(a) / sizeof((a)[0]))
+
 /* Guards against a request that waits beside a leaving upstream until it is too
  * late to run there, and whose caller learns so only then. */
 Test(leaving_gate, a_request_that_cannot_start_in_time_is_refused_unrun,
@@ -38,3 +40,65 @@
 	cr_expect_eq(running->status, 200, "%u", running->status);
 	cr_expect_eq(path.upstream.ran, 1);
 }
+
+/* Guards against requests that a stopping node takes and then cuts, and against
+ * refusals of requests that would have completed. */
+Test(leaving_work, a_stopping_node_takes_what_it_does_not_cut)
+{
+	static const struct {
+		const char *path;
+		const char *deadline_ms; /* NULL: 5 s, as the kinds have it */
+		const char *hops;
+		int64_t work_ms; /* until work is cancelled; 0: no stop */
+		unsigned int status;
+	} cases[] = {
+		{ "/seal", NULL, "0", 0, 200 },
+		{ "/seal", NULL, "0", 60000, 200 },
+		{ "/seal", NULL, "0", 4000, 503 },
+		{ "/seal", "3000", "0", 4000, 200 },
+		{ "/seal", "4500", "0", 4000, 503 },
+		{ "/seal", "60000", "0", 40000, 503 },
+		/* A request in progress would fail without it. */
+		{ "/seal", NULL, "1", 4000, 200 },
+		/* May be repeated; the target time is not known, 0.1 s, 0.1 s. */
+		{ "/view", NULL, "0", 4000, 503 },
+		{ "/view", "3000", "0", 4000, 200 },
+		{ "/aimed", NULL, "0", 4000, 200 },
+		{ "/aimed", NULL, "0", 300, 503 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct http_header headers[] = {
+			{ HEADER_HOPS, cases[i].hops },
+			{ HEADER_DEADLINE, cases[i].deadline_ms },
+		};
+		const struct path_request request = {
+			.method = "POST",
+			.path = cases[i].path,
+			.id = "one",
+			.headers = headers,
+			.header_count = cases[i].deadline_ms ? 2 : 1,
+		};
+		struct path_result *result;
+
+		path_setup();
+		if (cases[i].work_ms)
+			calls_begin_leaving(&path.a.calls,
+					    clock_monotonic_us() +
+						    cases[i].work_ms *
+							    US_PER_MS);
+		result = path_send(&request);
+		path_wait(&result->answers, 1, "an answer");
+		cr_expect_eq(result->status, cases[i].status, "case %zu: %u %s",
+			     i, result->status, result->reason);
+		if (cases[i].status != 200) {
+			cr_expect_str_eq(result->verdict, "not-run");
+			cr_expect_str_eq(result->reason, "draining");
+			cr_expect_neq(*result->retry_after, '\0');
+		}
+		cr_expect_eq(path.upstream.ran, cases[i].status == 200,
+			     "case %zu", i);
+		path_teardown();
+	}
+}
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -541,9 +541,9 @@
 
 	log_info(component, "leaving");
 	node->leaving = true;
-	calls_begin_leaving(&node->calls);
 	leaving_begin(&node->exit.times, from->linger_ms, from->drain_ms,
 		      now_us);
+	calls_begin_leaving(&node->calls, node->exit.times.work_until_us);
 	node_source_withdraw(node);
 	if (from->keep_upstream_ms)
 		timer_set(&node->loop, &node->keep_upstream,
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -23,6 +23,7 @@
 };
 
 static const char slow_path[] = "/seal?service_us=3000000";
+static const char slow_long_path[] = "/seal?service_us=4500000";
 
 static struct cluster cluster;
 
@@ -63,11 +64,28 @@
 	start_with("[call]\ndrain_ms = 1000\n");
 }
 
+/* Starts nodes that serve their callers for a while and cancel work before the
+ * requests of slow_long_path can end. */
+static void start_with_short_work(void)
+{
+	start_with("[call]\nlinger_ms = 1500\nkeep_upstream_ms = 1500\n"
+		   "drain_ms = 1000\n");
+}
+
 static void stop(void)
 {
 	cluster_stop(&cluster);
 }
 
+static void signal_and_wait_leaving(uint32_t i)
+{
+	int64_t until_ms = clock_monotonic_us() / US_PER_MS + WAIT_MS;
+
+	process_signal(&cluster.nodes[i].process, SIGTERM);
+	while (cluster_node_status(&cluster, i, "leaving") != 1)
+		cr_assert_lt(clock_monotonic_us() / US_PER_MS, until_ms);
+}
+
 /* Waits until a line of the log of @process contains @text. Returns false on a
  * timeout. A line is written after the event that it reports. */
 static bool log_contains(const struct process *process, const char *text)
@@ -149,13 +167,10 @@
 Test(drain, a_lingering_node_still_sends_calls_to_its_upstream,
      .init = start_with_long_linger, .fini = stop, .timeout = 120)
 {
-	int64_t until_ms = clock_monotonic_us() / US_PER_MS + WAIT_MS;
 	struct fetch fetch;
 	int i;
 
-	process_signal(&cluster.nodes[1].process, SIGTERM);
-	while (cluster_node_status(&cluster, 1, "leaving") != 1)
-		cr_assert_lt(clock_monotonic_us() / US_PER_MS, until_ms);
+	signal_and_wait_leaving(1);
 	for (i = 0; i < 10; i++) {
 		cr_assert_eq(call_once(&cluster, i % NODES, "beta", &fetch),
 			     200);
@@ -163,6 +178,22 @@
 	}
 }
 
+/* Guards against 502 from a stopping node for an unsafe request that it took
+ * although the request could outlast the stop. */
+Test(drain, a_stopping_node_takes_no_request_that_it_could_cut,
+     .init = start_with_short_work, .fini = stop, .timeout = 120)
+{
+	struct background_call call;
+
+	signal_and_wait_leaving(0);
+	background_begin(&call, &cluster, 0, "beta", slow_long_path, "long");
+	cr_assert(background_wait(&call));
+	cr_expect_eq(call.fetch.status, 503, "%ld", call.fetch.status);
+	cr_expect_str_eq(call.fetch.verdict, "not-run");
+	background_finish(&call);
+	cr_expect_eq(upstream_run_count(&cluster, 1, "long"), 0);
+}
+
 /* Guards against routes that keep a leaving upstream: it gets new requests, or
  * its requests in progress are aborted. */
 Test(drain, a_leaving_upstream_gets_no_new_requests, .init = start,
