call: a stopping node gives its upstream nothing that it could cut

What callers saw: 502 may-have-run for an unsafe request that the node beside its upstream took after SIGTERM, during call.keep_upstream_ms, and cancelled at the end of its drain time, although other upstreams could have run it. drain/a_stopping_node_gives_its_upstream_nothing_that_it_could_cut failed before: 502, may-have-run, the upstream had run it.

Now the inbound side refuses an attempt whose wait passes the time at which it cancels work as soon as it is stopping (leaving, not run). The caller's node tries elsewhere and takes no retry token for it. An attempt that may be repeated is taken as before: if it is cut, its node repeats it, and the upstream stays of use meanwhile.

Refused now and served before, where no other upstream is left: unsafe requests with more time left than the stop has.

--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -295,6 +295,7 @@
 {
 	calls->caller.options.end_heads = false;
 	calls->caller.work_until_us = work_until_us;
+	calls->server.work_until_us = work_until_us;
 	calls->caller.stopping_us = loop_now_us(calls->options.loop);
 }
 
--- a/src/call/leaving_test.c
+++ b/src/call/leaving_test.c
@@ -102,3 +102,53 @@
 		path_teardown();
 	}
 }
+
+/* Guards against attempts that the node beside an upstream takes while it stops
+ * and cuts, although its peer could have sent them elsewhere. */
+Test(leaving_work, a_stopping_node_refuses_attempts_that_it_could_cut)
+{
+	static const struct {
+		const char *path;
+		const char *deadline_ms;
+		int64_t work_ms; /* until work is cancelled; 0: no stop */
+		unsigned int status;
+	} cases[] = {
+		{ "/seal", "5000", 0, 200 },
+		{ "/seal", "5000", 60000, 200 },
+		{ "/seal", "5000", 4000, 503 },
+		{ "/seal", "3000", 4000, 200 },
+		/* The caller's node may repeat it. */
+		{ "/view", "5000", 4000, 200 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct http_header headers[] = {
+			{ HEADER_DEADLINE, cases[i].deadline_ms },
+		};
+		const struct path_request request = { .method = "POST",
+						      .path = cases[i].path,
+						      .id = "one",
+						      .headers = headers,
+						      .header_count = 1 };
+		struct path_result *result;
+
+		path_setup();
+		if (cases[i].work_ms)
+			calls_begin_leaving(&path.b.calls,
+					    clock_monotonic_us() +
+						    cases[i].work_ms *
+							    US_PER_MS);
+		result = path_send(&request);
+		path_wait(&result->answers, 1, "an answer");
+		cr_expect_eq(result->status, cases[i].status, "case %zu: %u %s",
+			     i, result->status, result->reason);
+		if (cases[i].status != 200) {
+			cr_expect_str_eq(result->verdict, "not-run");
+			cr_expect_str_eq(result->reason, "leaving");
+		}
+		cr_expect_eq(path.upstream.ran, cases[i].status == 200,
+			     "case %zu", i);
+		path_teardown();
+	}
+}
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -39,12 +39,22 @@
 	answer_stream_start(server, peer, &entry);
 }
 
+/* Returns true if this stopping node could have to cancel the attempt, and the
+ * caller's node could not repeat it. A refusal costs that node no retry token.
+ */
+static bool could_be_cut(const struct server *server,
+			 const struct call_request *request)
+{
+	return server->work_until_us && !request->repeatable &&
+	       now(server) + request->wait_us > server->work_until_us;
+}
+
 static enum call_reason refusal_reason(const struct server *server,
 				       const struct call_request *request)
 {
 	const struct serve_options *options = &server->options;
 
-	if (server->draining)
+	if (server->draining || could_be_cut(server, request))
 		return CALL_GATE_LEAVING;
 	if (!server->has_upstream)
 		return CALL_GATE_CLOSED;
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -126,6 +126,7 @@
 	struct timer tick;
 	int64_t tick_due_us;
 	struct timer push;
+	int64_t work_until_us; /* when a stopping node cancels work; or 0 */
 	bool draining;
 };
 
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -194,6 +194,22 @@
 	cr_expect_eq(upstream_run_count(&cluster, 1, "long"), 0);
 }
 
+/* Guards against 502 for an unsafe request that a stopping node gives to its
+ * upstream although the request could outlast the stop. */
+Test(drain, a_stopping_node_gives_its_upstream_nothing_that_it_could_cut,
+     .init = start_with_short_work, .fini = stop, .timeout = 120)
+{
+	struct background_call call;
+
+	signal_and_wait_leaving(1);
+	background_begin(&call, &cluster, 0, "beta", slow_long_path, "long");
+	cr_assert(background_wait(&call));
+	cr_expect_eq(call.fetch.status, 503, "%ld", call.fetch.status);
+	cr_expect_str_eq(call.fetch.verdict, "not-run");
+	background_finish(&call);
+	cr_expect_eq(upstream_run_count(&cluster, 1, "long"), 0);
+}
+
 /* Guards against routes that keep a leaving upstream: it gets new requests, or
  * its requests in progress are aborted. */
 Test(drain, a_leaving_upstream_gets_no_new_requests, .init = start,
