call: nested calls are taken during a drain on the platform's interface

What callers saw: an unsafe request that ran beside a stopping node failed, since each call that it made after call.linger_ms was refused with 503 draining.

The field was read on the platform's interface, too, where clients could set it.

nested/a_request_in_progress_makes_its_calls_during_a_stop (two real nodes, an outer unsafe request of 5 s beside the stopping node, its call after the linger time) failed before: 503 in place of 200.

The platform has nothing that tells a nested call: no field, and clients on the machine share the upstream's IP address. What is known: nested calls come from that address, while the upstream runs a request that this node has sent it, and expire at their parent's deadline. A call that meets all three is taken, with 250 ms for the way and for whole milliseconds; a client's call that meets them is taken with it and answered like any other. It prolongs no stop, as it ends no later than the request in progress for which the drain waits, and since no new request reaches the upstream then, the set only shrinks. A call without a deadline has that of its route, which is later than the parent's as a rule, and is refused. A call whose limit passes the end of work is refused as during the linger time.

nested/without_a_request_in_progress_no_call_is_taken passes before and after.

--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -26,6 +26,10 @@
 	/* Times that the target time of a kind fits into the time left, for a
 	 * request that very probably completes in that time. */
 	STOP_TARGETS_MIN = 4,
+	/* Time by which the deadline of a nested call may seem to be later than
+	 * that of the request that has made it: time in transit, and whole
+	 * milliseconds. */
+	NESTED_MARGIN_MS = 250,
 };
 
 COUNTER(started, "call.started", "Calls taken from callers");
@@ -218,27 +222,38 @@
 	return true;
 }
 
+/* Returns true if the time limit of a call that was taken during the drain
+ * shows that no request in progress at the own upstream has made it. */
+static bool outlasts_upstream(const struct call *call)
+{
+	const struct caller *caller = call->caller;
+
+	return caller->draining && !call->parsed.context.hops &&
+	       call->parsed.context.deadline_us >
+		       caller->nested_until_us + NESTED_MARGIN_MS * US_PER_MS;
+}
+
 /*
- * Ends the call if it may last longer than this stopping node. A request that
- * may be repeated is taken if it very probably completes. One that may not is
- * taken only if it cannot be cut: its caller could not send it again. A nested
- * call is taken in any case, because the request in progress that has made it
- * would fail without it.
+ * Returns true if the call could have to be cut because this node stops. One
+ * that may be repeated is taken if it very probably completes. One that may not
+ * is taken only if it cannot be cut: its caller could not send it again. A
+ * nested call is taken in any case, because the request in progress that has
+ * made it would fail without it.
  */
-static bool end_if_cut_by_stop(struct call *call)
+static bool is_cut_by_stop(const struct call *call)
 {
 	const struct caller *caller = call->caller;
 	const struct kind *kind = call->kind;
 	int64_t left_us = caller->work_until_us - now(caller);
 
-	if (!caller->work_until_us || call->parsed.context.hops ||
-	    call->parsed.context.deadline_us <= caller->work_until_us)
+	if (!caller->work_until_us || call->parsed.context.hops)
 		return false;
-	if (kind->repeatable && kind->target_ms &&
-	    kind->target_ms * US_PER_MS * STOP_TARGETS_MIN <= left_us)
+	if (outlasts_upstream(call))
+		return true;
+	if (call->parsed.context.deadline_us <= caller->work_until_us)
 		return false;
-	call_step_reason(call, ATTEMPT_EVENT_GIVE_UP, CALL_DRAINING);
-	return true;
+	return !kind->repeatable || !kind->target_ms ||
+	       kind->target_ms * US_PER_MS * STOP_TARGETS_MIN > left_us;
 }
 
 const char *call_tenant_name(const struct call *call)
@@ -270,7 +285,11 @@
 		call_step_reason(call, ATTEMPT_EVENT_DEADLINE, CALL_DEADLINE);
 		return;
 	}
-	if (end_if_cut_by_stop(call) || end_if_blocked(call))
+	if (is_cut_by_stop(call)) {
+		call_step_reason(call, ATTEMPT_EVENT_GIVE_UP, CALL_DRAINING);
+		return;
+	}
+	if (end_if_blocked(call))
 		return;
 	timer_set(call->caller->options.loop, &call->deadline,
 		  options.deadline_us);
@@ -278,14 +297,24 @@
 		call_begin_attempt(call);
 }
 
-/* Returns true if the request comes from work in progress at an upstream. Such
- * requests are taken during a drain, because that work could not complete
- * without them. */
-static bool is_nested(const struct http_exchange *exchange)
+/*
+ * Returns true if the request may come from work in progress at an upstream.
+ * Such requests are taken during a drain, because that work could not complete
+ * without them. An interface without the field for hops does not tell them from
+ * requests of clients on the same machine; outlasts_upstream() bounds both.
+ */
+static bool may_be_nested(const struct caller *caller,
+			  const struct http_exchange *exchange)
 {
-	const char *hops = http_exchange_header(exchange, HEADER_HOPS);
-
-	return hops && strtoul(hops, NULL, 10) > 0;
+	const char *name = caller->options.names->hops;
+	const char *hops = name ? http_exchange_header(exchange, name) : NULL;
+	struct address address;
+
+	if (name)
+		return hops && strtoul(hops, NULL, 10) > 0;
+	http_exchange_caller_address(exchange, &address);
+	return caller->nested_until_us &&
+	       address_equal(&address, &caller->upstream_ip);
 }
 
 static enum call_reason over_limit(const struct caller *caller,
@@ -294,7 +323,8 @@
 	size_t size;
 
 	http_exchange_body(exchange, &size);
-	if (caller->drained || (caller->draining && !is_nested(exchange)))
+	if (caller->drained ||
+	    (caller->draining && !may_be_nested(caller, exchange)))
 		return CALL_DRAINING;
 	if (caller->call_count + caller->startup_queue.count >=
 		    caller->options.calls_max ||
--- a/src/call/caller.h
+++ b/src/call/caller.h
@@ -128,6 +128,8 @@
  * @stopping_us: time at which this node was asked to stop; 0 before
  * @work_until_us: time at which the calls in progress of a stopping node are
  *	cancelled; 0 before the stop
+ * @nested_until_us: time until which the upstream beside this node may run a
+ *	request, and make calls for it; 0 if it runs none; set while draining
  * @draining: only requests of work already in progress are taken
  * @drained: no requests are taken
  */
@@ -154,6 +156,7 @@
 	struct timer push;
 	int64_t stopping_us;
 	int64_t work_until_us;
+	int64_t nested_until_us;
 	bool draining;
 	bool drained;
 };
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -260,6 +260,9 @@
 {
 	struct calls *calls = data;
 
+	if (calls->draining)
+		calls->caller.nested_until_us =
+			serve_running_until_us(&calls->server);
 	caller_handle(exchange, &calls->caller);
 }
 
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -472,6 +472,18 @@
 	inbound_run_gate(server);
 }
 
+int64_t serve_running_until_us(const struct server *server)
+{
+	const struct inbound *inbound;
+	int64_t until_us = 0;
+
+	DL_FOREACH(server->inbound_attempts, inbound)
+		if (inbound->state == INBOUND_RUNNING &&
+		    inbound->context.deadline_us > until_us)
+			until_us = inbound->context.deadline_us;
+	return until_us;
+}
+
 bool serve_idle(const struct server *server)
 {
 	const struct serve_peer *peer;
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -178,6 +178,14 @@
  */
 const struct request_stats *serve_request_stats(struct server *server);
 
+/**
+ * serve_running_until_us() - returns until when attempts may run at the upstream
+ *
+ * Return: the latest deadline of the attempts that run, in microseconds of the
+ * monotonic clock; 0 if none runs.
+ */
+int64_t serve_running_until_us(const struct server *server);
+
 /** serve_idle() - returns true if no attempt and no answer is pending. */
 bool serve_idle(const struct server *server);
 
