wire: frames that were received are handled before a failed write closes

What callers saw: 502 peer-lost for a request whose answer had arrived, when the node beside the upstream had ended: at a planned stop of both, or of that node.

Cause: a node that ends closes its connections; with bytes unread, or once more bytes arrive, its kernel resets them. If the caller's node had bytes queued to it, such as the rest of a body on a slow link, its next event wrote first, the write failed, and the connection was closed with the received answer unread. The node queried the attempt, found the port closed, and gave up.

Now a failed write first handles what the kernel still holds; the peer can send nothing more, so that this is bounded. Frames in bulk that wait are handled before the close, as when the peer closes.

lost_conn/received_frames_are_handled_before_a_failed_write_closes failed before: "case 0: 0 frames", connection_closed "write failed". Its other case, a frame written at the end of a turn, held before.

--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -103,6 +103,27 @@
 	wire_conn_free(conn);
 }
 
+static void handle_input(struct wire_conn *conn);
+
+/* The peer has ended or has reset the connection. Frames that it sent before
+ * are handled first, since one of them may be an answer. */
+static void write_failed(struct wire_conn *conn)
+{
+	size_t size;
+
+	buffer_consume(&conn->out, buffer_size(&conn->out));
+	while (may_read(conn) &&
+	       net_read_buffer(conn->fd, &conn->in, &size) == NET_OK) {
+		handle_input(conn);
+		if (conn->state == WIRE_CONN_CLOSED)
+			return;
+	}
+	if (!buffer_size(&conn->bulk))
+		wire_conn_close(conn, ERROR_IO, "write failed");
+	else if (may_read(conn))
+		conn->ended_by_peer = true;
+}
+
 static void write_out(struct wire_conn *conn)
 {
 	while (!conn->blocked && buffer_size(&conn->out)) {
@@ -113,8 +134,8 @@
 		if (result == NET_AGAIN)
 			break;
 		if (result != NET_OK) {
-			wire_conn_close(conn, ERROR_IO, "write failed");
-			return;
+			write_failed(conn);
+			break;
 		}
 		buffer_consume(&conn->out, size);
 	}
