node: a process does not end while answers are still on their way

What callers saw: a status 200 whose body ends early. A client with a small window reads 300 kB slowly; the node has written the answer whole, drains, and ends 0.1 s later. When the client then sends its next request, the kernel resets the connection and discards the bytes of the first answer that it still held.

Cause: a drained process waited for requests without a whole answer, and an answer counted as whole once the kernel had taken it. The same holds for answers to other nodes: their pings reach a closed socket and reset it.

Now a drained process also waits while the kernel holds bytes for a caller, or for a peer on a connection that the peer has opened, at most as long as it waits for callers: a second, and never beyond LEAVING_OVERHEAD_MAX_MS in all. What is left then has the line left_open, with the new field peers.

The unit test of the peers' side, lost_conn/bytes_that_a_peer_has_not_received_are_known, is of the new function alone: no run was found that loses an answer between two nodes this way.

--- a/src/http/server.c
+++ b/src/http/server.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <utlist.h>
 
 #include "base/counter.h"
 #include "base/log.h"
@@ -109,6 +110,16 @@
 	server->loop = NULL;
 }
 
+bool http_server_has_undelivered(const struct http_server *server)
+{
+	const struct http_conn *conn;
+
+	DL_FOREACH(server->conns, conn)
+		if (net_undelivered_bytes(conn->fd))
+			return true;
+	return false;
+}
+
 const struct address *http_server_address(const struct http_server *server)
 {
 	return &server->address;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -138,6 +138,12 @@
  */
 void http_server_disable_keep_alive(struct http_server *server);
 
+/**
+ * http_server_has_undelivered() - returns true if a caller has not received all
+ *	bytes that were written to its connection
+ */
+bool http_server_has_undelivered(const struct http_server *server);
+
 /** http_server_finish() - closes all connections; calls no abort callback. */
 void http_server_finish(struct http_server *server);
 
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -49,7 +49,7 @@
 		until_us = max_us(until_us,
 				  leaving->signalled_us +
 					  LEAVING_LEASE_RELEASE_MS * US_PER_MS);
-	if (open->callers)
+	if (open->callers || open->peers)
 		until_us = max_us(until_us, callers_until_us(leaving));
 	return until_us;
 }
--- a/src/node/leaving.h
+++ b/src/node/leaving.h
@@ -19,7 +19,8 @@
 	LEAVING_DATAGRAMS_MS = 100,
 	/* Maximum time from the signal for the release of the lease. */
 	LEAVING_LEASE_RELEASE_MS = 1000,
-	/* Maximum time after draining for callers to read a last answer. */
+	/* Maximum time after draining for callers and peers to receive a last
+	 * answer. */
 	LEAVING_CALLERS_MS = 1000,
 	/* Maximum time of a stop beyond the linger time and the drain time. */
 	LEAVING_OVERHEAD_MAX_MS = 1000,
@@ -40,11 +41,14 @@
 /**
  * struct leaving_open - work that remains after all calls have drained
  * @store: true while the lease is being released in the store
- * @callers: true while a caller has a request without a complete answer
+ * @callers: true while a caller has a request without a complete answer, or has
+ *	not received all bytes of one
+ * @peers: true while a peer has not received all bytes of an answer
  */
 struct leaving_open {
 	bool store;
 	bool callers;
+	bool peers;
 };
 
 /**
--- a/src/node/leaving_test.c
+++ b/src/node/leaving_test.c
@@ -16,30 +16,34 @@
 		int64_t linger_ms;
 		int64_t drain_ms;
 		int64_t drained_ms;
-		struct leaving_open open; /* store, callers */
+		struct leaving_open open; /* store, callers, peers */
 		int64_t wanted_ms;
 	} cases[] = {
 		/* No remaining work: only datagrams are sent. */
-		{ 0, 30000, 0, { false, false }, 100 },
-		{ 2300, 2200, 2300, { false, false }, 2400 },
-		{ 2300, 2200, 5000, { false, false }, 5100 },
+		{ 0, 30000, 0, { false, false, false }, 100 },
+		{ 2300, 2200, 2300, { false, false, false }, 2400 },
+		{ 2300, 2200, 5000, { false, false, false }, 5100 },
 		/* The wait for the store counts from the signal. */
-		{ 0, 30000, 0, { true, false }, 1000 },
-		{ 0, 30000, 950, { true, false }, 1050 },
-		{ 2300, 2200, 2300, { true, false }, 2400 },
-		{ 2300, 2200, 5000, { true, false }, 5100 },
+		{ 0, 30000, 0, { true, false, false }, 1000 },
+		{ 0, 30000, 950, { true, false, false }, 1050 },
+		{ 2300, 2200, 2300, { true, false, false }, 2400 },
+		{ 2300, 2200, 5000, { true, false, false }, 5100 },
 		/* Callers that connected just before the port closed. */
-		{ 0, 30000, 0, { false, true }, 1000 },
-		{ 2300, 2200, 2300, { false, true }, 3300 },
-		{ 2300, 2200, 4400, { false, true }, 5000 },
+		{ 0, 30000, 0, { false, true, false }, 1000 },
+		{ 2300, 2200, 2300, { false, true, false }, 3300 },
+		{ 2300, 2200, 4400, { false, true, false }, 5000 },
 		/* Callers that had at least the drain time. */
-		{ 2300, 2200, 5000, { false, true }, 5100 },
-		{ 2300, 2200, 5000, { true, true }, 5100 },
-		{ 0, 1000, 1500, { true, true }, 1600 },
+		{ 2300, 2200, 5000, { false, true, false }, 5100 },
+		{ 2300, 2200, 5000, { true, true, false }, 5100 },
+		{ 0, 1000, 1500, { true, true, false }, 1600 },
+		/* Peers get as much time as callers. */
+		{ 2300, 2200, 2300, { false, false, true }, 3300 },
+		{ 2300, 2200, 4400, { false, false, true }, 5000 },
+		{ 2300, 2200, 5000, { true, true, true }, 5100 },
 		/* No linger time and no drain time. */
-		{ 0, 0, 0, { false, true }, 500 },
-		{ 0, 0, 500, { false, true }, 600 },
-		{ 0, 0, 500, { true, true }, 1000 },
+		{ 0, 0, 0, { false, true, false }, 500 },
+		{ 0, 0, 500, { false, true, false }, 600 },
+		{ 0, 0, 500, { true, true, false }, 1000 },
 	};
 	size_t i;
 
@@ -74,7 +78,8 @@
 
 			for (at_ms = times_ms[linger];
 			     at_ms <= max_ms + CALLS_DRAIN_FLUSH_MS; at_ms++) {
-				const struct leaving_open all = { true, true };
+				const struct leaving_open all = { true, true,
+								  true };
 				struct leaving leaving;
 
 				leaving_begin(&leaving, times_ms[linger],
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -408,13 +408,17 @@
 /* The next reader can start at once if the lease is released, and otherwise
  * only when the lease expires. The wait for the store is bounded, since the
  * store may be down. A caller whose request arrives on a connection that is
- * still open receives its refusal. */
+ * still open receives its refusal. A caller or a peer that has not received all
+ * of an answer would lose the rest if it sent more bytes after the end of this
+ * process: the kernel would reset the connection. */
 static struct leaving_open open_work(void *data)
 {
 	const struct node *node = data;
 	const struct leaving_open open = {
 		.store = !node_source_is_idle(node),
-		.callers = node->callers.exchange_count > 0,
+		.callers = node->callers.exchange_count > 0 ||
+			   http_server_has_undelivered(&node->callers),
+		.peers = wire_hub_has_undelivered(&node->hub),
 	};
 
 	return open;
@@ -425,9 +429,10 @@
 {
 	struct node *node = data;
 
-	if (left->store || left->callers)
+	if (left->store || left->callers || left->peers)
 		log_warn(component, "left_open",
 			 LOG_NUMBER("unanswered", node->callers.exchange_count),
+			 LOG_NUMBER("peers", left->peers),
 			 LOG_NUMBER("store", left->store));
 	node->stopped = true;
 }
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -195,6 +195,18 @@
 	}
 }
 
+bool wire_hub_has_undelivered(const struct wire_hub *hub)
+{
+	const struct wire_conn *conn;
+
+	DL_FOREACH(hub->conns, conn)
+		if (conn->state == WIRE_CONN_OPEN && !conn->dialed &&
+		    (wire_conn_queued_bytes(conn) ||
+		     net_undelivered_bytes(conn->fd)))
+			return true;
+	return false;
+}
+
 static const char *state_name(enum wire_conn_state state)
 {
 	static const char *const names[] = { "connecting", "handshake", "open",
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -228,6 +228,14 @@
 void wire_hub_set_filter(struct wire_hub *hub,
 			 const struct wire_filter *filter);
 
+/**
+ * wire_hub_has_undelivered() - returns true if a peer has not received all
+ *bytes that were sent on a connection which it opened
+ *
+ * These connections carry answers.
+ */
+bool wire_hub_has_undelivered(const struct wire_hub *hub);
+
 /** wire_hub_dump() - returns connections and traffic by frame type as JSON. */
 json_t *wire_hub_dump(const struct wire_hub *hub);
 
--- a/src/wire/lost_conn_test.c
+++ b/src/wire/lost_conn_test.c
@@ -153,3 +153,37 @@
 	}
 	loop_finish(&loop);
 }
+
+/* Guards against a process that ends while its kernel holds answers for a peer
+ * that receives slowly. */
+Test(lost_conn, bytes_that_a_peer_has_not_received_are_known)
+{
+	struct error err = ERROR_INIT;
+	static struct end a;
+	static struct end b;
+	struct wire_conn *from_a;
+	size_t size;
+	const void *frame;
+	int i;
+
+	apr_initialize();
+	cr_assert(loop_init(&loop, &err));
+	end_init(&a);
+	end_init(&b);
+	from_a = wire_hub_connect(&a.hub, &b.hub.self.address);
+	turn_until(&a.opened, 1);
+	turn_until(&b.opened, 1);
+	for (i = 0; i < TURNS && wire_hub_has_undelivered(&b.hub); i++)
+		loop_turn(&loop, TURN_US);
+	cr_expect_not(wire_hub_has_undelivered(&b.hub));
+	/* The opener of a connection does not read for a while. */
+	watch_stop(&from_a->watch);
+	fill_queue(b.hub.conns);
+	frame = encode_frame(10, &size);
+	cr_expect(wire_hub_has_undelivered(&b.hub));
+	cr_expect(wire_conn_send(from_a, frame, size));
+	cr_expect_not(wire_hub_has_undelivered(&a.hub), "not an answer");
+	wire_hub_finish(&a.hub);
+	wire_hub_finish(&b.hub);
+	loop_finish(&loop);
+}
