--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -103,45 +103,6 @@
 	wire_conn_free(conn);
 }
 
-static void handle_input(struct wire_conn *conn);
-
-/* The peer has ended or has reset the connection. Frames that it sent before
- * are handled first, since one of them may be an answer. */
-static void write_failed(struct wire_conn *conn)
-{
-	size_t size;
-
-	buffer_consume(&conn->out, buffer_size(&conn->out));
-	while (may_read(conn) &&
-	       net_read_buffer(conn->fd, &conn->in, &size) == NET_OK) {
-		handle_input(conn);
-		if (conn->state == WIRE_CONN_CLOSED)
-			return;
-	}
-	if (!buffer_size(&conn->bulk))
-		wire_conn_close(conn, ERROR_IO, "write failed");
-	else if (may_read(conn))
-		conn->ended_by_peer = true;
-}
-
-static void write_out(struct wire_conn *conn)
-{
-	while (!conn->blocked && buffer_size(&conn->out)) {
-		size_t size = buffer_size(&conn->out);
-		enum net_result result =
-			net_write(conn->fd, buffer_data(&conn->out), &size);
-
-		if (result == NET_AGAIN)
-			break;
-		if (result != NET_OK) {
-			write_failed(conn);
-			break;
-		}
-		buffer_consume(&conn->out, size);
-	}
-	wire_conn_watch(conn);
-}
-
 static void count_sent(struct wire_conn *conn, uint8_t type, size_t size)
 {
 	conn->hub->traffic[type].sent_bytes += size;
@@ -158,14 +119,6 @@
 	loop_defer_to_turn_end(conn->hub->loop, &conn->flush);
 }
 
-static void flush_run(void *data)
-{
-	struct wire_conn *conn = data;
-
-	if (conn->state == WIRE_CONN_HANDSHAKE || conn->state == WIRE_CONN_OPEN)
-		write_out(conn);
-}
-
 static void send_close(struct wire_conn *conn, enum error_code code,
 		       const char *reason)
 {
@@ -405,11 +358,6 @@
 	}
 }
 
-static void close_ended_by_peer(struct wire_conn *conn)
-{
-	wire_conn_close(conn, ERROR_IO, "closed by the peer");
-}
-
 /* Handles frames that wait in @bulk for a limited time. */
 static void resume_run(void *data)
 {
@@ -430,20 +378,16 @@
 	if (buffer_size(&conn->bulk))
 		loop_defer_idle(conn->hub->loop, &conn->resume);
 	else if (conn->ended_by_peer)
-		close_ended_by_peer(conn);
+		wire_conn_close(conn, ERROR_IO, "closed by the peer");
 	wire_conn_watch(conn);
 }
 
-/* The connection cannot be read any more. A version that was received before
- * the end is still taken over. */
-static void read_failed(struct wire_conn *conn, enum net_result result)
+/* Nothing more can be read. A version that was received before the end is still
+ * taken over. */
+static void end_input(struct wire_conn *conn, const char *reason)
 {
-	if (result != NET_CLOSED) {
-		wire_conn_close(conn, ERROR_IO, "connection reset");
-		return;
-	}
 	if (!buffer_size(&conn->bulk)) {
-		close_ended_by_peer(conn);
+		wire_conn_close(conn, ERROR_IO, reason);
 		return;
 	}
 	conn->ended_by_peer = true;
@@ -461,8 +405,12 @@
 
 		if (result == NET_AGAIN)
 			return;
+		if (result == NET_CLOSED) {
+			end_input(conn, "closed by the peer");
+			return;
+		}
 		if (result != NET_OK) {
-			read_failed(conn, result);
+			wire_conn_close(conn, ERROR_IO, "connection reset");
 			return;
 		}
 		conn->received_us = loop_now_us(conn->hub->loop);
@@ -473,6 +421,49 @@
 	}
 }
 
+/* The peer has ended or has reset the connection. Frames that it sent before
+ * are handled first, since one of them may be an answer. */
+static void write_failed(struct wire_conn *conn)
+{
+	size_t size;
+
+	buffer_consume(&conn->out, buffer_size(&conn->out));
+	while (may_read(conn) &&
+	       net_read_buffer(conn->fd, &conn->in, &size) == NET_OK) {
+		handle_input(conn);
+		if (conn->state == WIRE_CONN_CLOSED)
+			return;
+	}
+	if (may_read(conn))
+		end_input(conn, "write failed");
+}
+
+static void write_out(struct wire_conn *conn)
+{
+	while (!conn->blocked && buffer_size(&conn->out)) {
+		size_t size = buffer_size(&conn->out);
+		enum net_result result =
+			net_write(conn->fd, buffer_data(&conn->out), &size);
+
+		if (result == NET_AGAIN)
+			break;
+		if (result != NET_OK) {
+			write_failed(conn);
+			break;
+		}
+		buffer_consume(&conn->out, size);
+	}
+	wire_conn_watch(conn);
+}
+
+static void flush_run(void *data)
+{
+	struct wire_conn *conn = data;
+
+	if (conn->state == WIRE_CONN_HANDSHAKE || conn->state == WIRE_CONN_OPEN)
+		write_out(conn);
+}
+
 static void connect_finished(struct wire_conn *conn)
 {
 	int result = net_connect_result(conn->fd);
