--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -45,12 +45,22 @@
 	answer_stream_start(server, peer, &entry);
 }
 
+/* Returns true if this stopping node could have to cancel the attempt, and the
+ * caller's node could not repeat it. A refusal costs that node no retry token.
+ */
+static bool could_be_cut(const struct server *server,
+			 const struct call_request *request)
+{
+	return server->work_until_us && !request->repeatable &&
+	       now(server) + request->wait_us > server->work_until_us;
+}
+
 static enum call_reason refusal_reason(const struct server *server,
 				       const struct call_request *request)
 {
 	const struct serve_options *options = &server->options;
 
-	if (server->draining)
+	if (server->draining || could_be_cut(server, request))
 		return CALL_GATE_LEAVING;
 	if (!server->has_upstream)
 		return CALL_GATE_CLOSED;
@@ -470,6 +480,18 @@
 	inbound_run_gate(server);
 }
 
+int64_t serve_running_until_us(const struct server *server)
+{
+	const struct inbound *inbound;
+	int64_t until_us = 0;
+
+	DL_FOREACH(server->inbound_attempts, inbound)
+		if (inbound->state == INBOUND_RUNNING &&
+		    inbound->context.deadline_us > until_us)
+			until_us = inbound->context.deadline_us;
+	return until_us;
+}
+
 bool serve_idle(const struct server *server)
 {
 	const struct serve_peer *peer;
