quarantine: refuse numbers of a record that cannot be right

In the record of the quarantine a time of -2^63 ms, or one past 64 bits, overflowed when it was turned into an age in microseconds, so that a block could end never or at once; counts past 32 bits were cut to 32 bits; signs were taken.

Cause: sscanf() reports no overflow and takes signs. Lines are now read by strtoull() with a maximum for each field, and a line with anything more is malformed: it is left out and reported, and the lines beside it are taken.

Evidence: on the code before, quarantine_record/malformed_lines_are_left_out fails for 11 of its new rows, among them "a negative time: 1", "a time that overflows in microseconds: 1" and "completions past 32 bits: 1" (the line was taken).

--- a/src/quarantine/record.c
+++ b/src/quarantine/record.c
@@ -1,5 +1,7 @@
 #include "quarantine/record.h"
 
+#include <ctype.h>
+#include <errno.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,6 +9,11 @@
 
 #include "os/clock.h"
 
+/* Larger numbers are taken for mistakes: a count that wraps would bring old
+ * crashes back, and a time that overflows would give a block without an end. */
+#define COMPLETIONS_MAX ((uint64_t)INT32_MAX)
+#define CHANGED_MAX_MS ((uint64_t)(INT64_MAX / (2 * US_PER_MS)))
+
 static const struct quarantine_recorded *
 find(const struct quarantine_record *record, uint64_t hash)
 {
@@ -108,23 +115,47 @@
 	return used;
 }
 
+/* Reads a number without a sign that is at most @value_max, and advances *@text
+ * to the byte behind it. */
+static bool parse_number(const char **text, int base, uint64_t value_max,
+			 uint64_t *value)
+{
+	char *end;
+
+	if (!isxdigit((unsigned char)**text))
+		return false;
+	errno = 0;
+	*value = strtoull(*text, &end, base);
+	if (errno || end == *text || *value > value_max)
+		return false;
+	*text = end;
+	return true;
+}
+
+static bool skip_blank(const char **text)
+{
+	if (**text != ' ')
+		return false;
+	++*text;
+	return true;
+}
+
 /* Reads ids in ascending order, as the table keeps them. */
-static bool parse_crashes(struct quarantine_finding *finding, char *text)
+static bool parse_crashes(struct quarantine_finding *finding, const char *text)
 {
 	uint64_t last = 0;
 
 	while (*text) {
-		char *end;
-		uint64_t id = strtoull(text, &end, 16);
+		uint64_t id;
 
-		if (end == text || id <= last ||
+		if (!parse_number(&text, 16, UINT64_MAX, &id) || id <= last ||
 		    finding->crash_count == QUARANTINE_CRASHES_MAX)
 			return false;
-		if (*end && (*end != ',' || !end[1]))
+		if (*text && (*text != ',' || !text[1]))
 			return false;
 		finding->crashes[finding->crash_count++] = id;
 		last = id;
-		text = *end ? end + 1 : end;
+		text += *text == ',';
 	}
 	return true;
 }
@@ -132,14 +163,19 @@
 static bool parse_line(struct quarantine_recorded *recorded, const char *line)
 {
 	struct quarantine_finding *finding = &recorded->finding;
-	char crashes[QUARANTINE_RECORD_LINE_SIZE] = "";
-	int count;
+	uint64_t completions;
+	uint64_t changed_ms;
 
 	memset(recorded, 0, sizeof(*recorded));
-	count = sscanf(line, "%16" SCNx64 " %" SCNu32 " %" SCNd64 " %159s",
-		       &finding->hash, &finding->completions,
-		       &recorded->changed_ms, crashes);
-	return count >= 3 && finding->hash && parse_crashes(finding, crashes);
+	if (!parse_number(&line, 16, UINT64_MAX, &finding->hash) ||
+	    !finding->hash || !skip_blank(&line) ||
+	    !parse_number(&line, 10, COMPLETIONS_MAX, &completions) ||
+	    !skip_blank(&line) ||
+	    !parse_number(&line, 10, CHANGED_MAX_MS, &changed_ms))
+		return false;
+	finding->completions = (uint32_t)completions;
+	recorded->changed_ms = (int64_t)changed_ms;
+	return !*line || (skip_blank(&line) && parse_crashes(finding, line));
 }
 
 bool quarantine_record_parse(struct quarantine_record *record, const char *text,
