rollout: refuse a record about an order later than the record

What operators would see: a roll-out of a service that never begins. A record with "order":-1 or 2^63-1, left by another writer under status/rollout/, counted as one about a later order, which nodes must not write over; they read it again and again instead.

Cause: the number was taken as unsigned, without a bound. All keys of the store share one counter of revisions, so an order is always older than its record; a record that says otherwise is malformed now and is replaced by the next write, as other malformed ones are.

--- a/src/rollout/controller.c
+++ b/src/rollout/controller.c
@@ -162,8 +162,8 @@
 
 	if (result->outcome != STORE_TOOK_EFFECT)
 		return false;
-	if (rollout_record_read(&entry->rollout.order, result->value,
-				result->size, found, &err))
+	if (rollout_record_read(&entry->rollout.order, result->revision,
+				result->value, result->size, found, &err))
 		return true;
 	if (error_is_set(&err))
 		log_warn(component, "record_unreadable",
