directory: odd lines keep no node out of the list

What callers would see: nodes that start never find each other. Once another writer has filled the directory with 192 lines that look like entries of other data centres, directory_add() refused each further entry, so no node could list itself.

Cause: a full list was taken for one of live nodes. Each node that is isolated adds itself in front, so the last entry is the oldest or of another writer, and it goes now. A line with port 0, which no node can have, is no entry.

Evidence: on the code before, directory/a_node_is_listed_in_a_directory_full_of_ other_lines fails ("directory_add(&directory, "a", &own) is false"), and so does the row with port 0 of directory/malformed_lines_are_skipped. The rows with ports out of range, nesting and invalid UTF-8 passed before too: they rule these out.

--- a/src/membership/directory.c
+++ b/src/membership/directory.c
@@ -32,7 +32,8 @@
 		return false;
 	memset(entry, 0, sizeof(*entry));
 	memcpy(entry->data_centre, line, length);
-	return address_parse(space + 1, &entry->address, NULL);
+	return address_parse(space + 1, &entry->address, NULL) &&
+	       entry->address.port;
 }
 
 void directory_parse(struct directory *directory, const char *text, size_t size)
@@ -150,8 +151,10 @@
 		return false;
 	if (directory_count(directory, data_centre) >= DIRECTORY_PER_CENTRE)
 		remove_last(directory, data_centre);
+	/* Each node adds itself as the first entry, so the last one is the
+	 * oldest, or a line of another writer. */
 	if (directory->count == DIRECTORY_ENTRIES_MAX)
-		return false;
+		directory->count--;
 	memmove(first + 1, first, directory->count * sizeof(*first));
 	directory->count++;
 	memset(first, 0, sizeof(*first));
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -111,9 +111,9 @@
  * directory_add() - Adds an address as the first entry of the directory
  *
  * If the data centre has DIRECTORY_PER_CENTRE entries, its last entry is
- * removed.
+ * removed. If the directory is full, its last entry is removed.
  *
- * Return: false if the address is listed already or the directory is full.
+ * Return: false if the address is listed already.
  */
 bool directory_add(struct directory *directory, const char *data_centre,
 		   const struct address *address);
--- a/src/membership/directory_test.c
+++ b/src/membership/directory_test.c
@@ -42,6 +42,14 @@
 		{ "nodes 12x\nnodes \nnodes -3\nnodes 1000001\n", "" },
 		{ "nodes 10.0.0.1:1\n", "nodes 10.0.0.1:1\n" },
 		{ "a  10.0.0.1:1\n", "" },
+		{ "a 10.0.0.1:0\na 10.0.0.2:2\n", "a 10.0.0.2:2\n" },
+		{ "a 10.0.0.1:65536\na 10.0.0.1:-1\na 10.0.0.2:2\n",
+		  "a 10.0.0.2:2\n" },
+		{ "a 10.0.0.1:99999999999999999999\na 10.0.0.2:2\n",
+		  "a 10.0.0.2:2\n" },
+		{ "[[[[[[[[\n{\"a\":1e999}\n\xff\xfe 10.0.0.1\na "
+		  "10.0.0.2:2\n",
+		  "a 10.0.0.2:2\n" },
 	};
 	struct directory directory;
 	size_t i;
@@ -95,6 +103,25 @@
 	cr_expect_eq(text[size - 1], '\n');
 }
 
+/* Guards against nodes that never find each other, because lines of another
+ * writer fill the directory. */
+Test(directory, a_node_is_listed_in_a_directory_full_of_other_lines)
+{
+	struct address address = parse("10.0.0.1:65535");
+	struct address own = parse("10.0.0.2:1");
+	struct directory directory = { .count = 0 };
+	char name[NAME_SIZE];
+	int i;
+
+	for (i = 0; i < DIRECTORY_ENTRIES_MAX; i++) {
+		snprintf(name, sizeof(name), "odd-%d", i);
+		cr_assert(directory_add(&directory, name, &address));
+	}
+	cr_expect(directory_add(&directory, "a", &own));
+	cr_expect(directory_has(&directory, "a", &own));
+	cr_expect_eq(directory.count, DIRECTORY_ENTRIES_MAX);
+}
+
 /* Listed nodes with slow links would delay the first version of all nodes that
  * start, such as after a power failure. */
 Test(directory, nodes_with_the_highest_fitness_are_listed)
