operator: bound the bodies of all connections together

What callers would see: the node beside their upstream is killed for its memory. Each of 64 connections to the operator's address may hold a body of 1 MiB, twice that in a buffer that grows; nothing bounded the sum, as held_bytes_max does for callers.

--- a/src/operator/server.c
+++ b/src/operator/server.c
@@ -17,6 +17,8 @@
 enum {
 	CONNECTIONS_MAX = 64,
 	IDLE_TIMEOUT_MS = 30000,
+	/* Of the bodies of all connections together. */
+	HELD_MAX_BYTES = 8 * OPERATOR_BODY_MAX_BYTES,
 };
 
 COUNTER(requests, "operator.requests", "Requests of operators answered");
@@ -168,6 +170,7 @@
 	struct http_server_options http = {
 		.address = options->address,
 		.max_body_bytes = OPERATOR_BODY_MAX_BYTES,
+		.held_bytes_max = HELD_MAX_BYTES,
 		.max_connections = CONNECTIONS_MAX,
 		.idle_timeout_ms = IDLE_TIMEOUT_MS,
 		.handler = handle,
