wire: durations of peers fit 64 bits in microseconds

The age of an upstream in a record of membership, and the times of a roll-out, were taken from frames and datagrams as any 64-bit number; the product with 1000 overflows, so that an upstream counts as one that has just started for ever, or a phase as one that is over.

Cause: decode_int() had no bound, unlike the decoders of unsigned numbers. All its users read milliseconds; decode_ms() in its place refuses more than INT64_MAX / 2000.

--- a/src/membership/packet.c
+++ b/src/membership/packet.c
@@ -161,7 +161,7 @@
 			 err) ||
 	    !decode_uint(&f[10], STATES, &state, "state", err) ||
 	    !decode_uint(&f[11], SLOTS_MAX, &slots, "slots", err) ||
-	    !decode_int(&f[12], &record->serving_age_ms, "age", err) ||
+	    !decode_ms(&f[12], &record->serving_age_ms, "age", err) ||
 	    !decode_uint(&f[13], FITNESS_MAX, &fitness, "fitness", err) ||
 	    !decode_text(&f[14], record->version, UPSTREAM_VERSION_SIZE,
 			 "version", err) ||
--- a/src/rollout/frames.c
+++ b/src/rollout/frames.c
@@ -47,10 +47,10 @@
 	    !decode_text(&f[1], order->target, sizeof(order->target), "target",
 			 err) ||
 	    !decode_uint(&f[2], UINT64_MAX, &order->revision, "order", err) ||
-	    !decode_int(&f[3], &order->over_ms, "time", err) ||
+	    !decode_ms(&f[3], &order->over_ms, "time", err) ||
 	    !decode_uint(&f[4], ROLLOUT_PHASES - 1, &phase, "phase", err) ||
 	    !decode_uint(&f[5], SHARE_MAX, &share, "share", err) ||
-	    !decode_int(&f[6], &rollout->elapsed_ms, "elapsed", err) ||
+	    !decode_ms(&f[6], &rollout->elapsed_ms, "elapsed", err) ||
 	    !decode_uint(&f[7], UINT64_MAX, &rollout->record_revision, "record",
 			 err))
 		return false;
--- a/src/rollout/frames_test.c
+++ b/src/rollout/frames_test.c
@@ -125,3 +125,40 @@
 	}
 	encoder_finish(&encoder);
 }
+
+/* Guards against a time of a peer that overflows in microseconds. */
+Test(frames, states_with_odd_times_are_refused)
+{
+	static const struct {
+		int64_t over_ms;
+		int64_t elapsed_ms;
+		bool valid;
+	} cases[] = {
+		{ 16000, 1250, true },	     { INT64_MAX, 1250, false },
+		{ INT64_MIN, 1250, false },  { 16000, INT64_MAX, false },
+		{ 16000, INT64_MIN, false }, { 16000, INT64_MAX / 1000, false },
+	};
+	struct encoder encoder;
+	size_t i;
+
+	encoder_init(&encoder);
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct rollout rollout = {
+			.order = { "s", "v2", 7, cases[i].over_ms },
+			.phase = ROLLOUT_CANARY,
+		};
+		struct error err = ERROR_INIT;
+		struct message message;
+		struct rollout back;
+
+		rollout_states_begin(&encoder, 1);
+		rollout_states_add(&encoder, &rollout, cases[i].elapsed_ms);
+		decode(&message, &encoder);
+		cr_expect_eq(rollout_states_decode(&message, 0, &back, &err),
+			     cases[i].valid, "case %zu", i);
+		cr_expect_eq(error_is_set(&err), !cases[i].valid, "case %zu",
+			     i);
+		message_finish(&message);
+	}
+	encoder_finish(&encoder);
+}
--- a/src/wire/codec.c
+++ b/src/wire/codec.c
@@ -268,17 +268,21 @@
 	return true;
 }
 
-bool decode_int(const msgpack_object *object, int64_t *value, const char *what,
-		struct error *err)
+bool decode_ms(const msgpack_object *object, int64_t *value_ms,
+	       const char *what, struct error *err)
 {
-	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
-		*value = object->via.i64;
-		return true;
-	}
-	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    object->via.u64 > INT64_MAX)
+	int64_t value;
+
+	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		value = object->via.i64;
+	else if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+		 object->via.u64 <= INT64_MAX)
+		value = (int64_t)object->via.u64;
+	else
+		return set_decode_error(what, err);
+	if (value < -CODEC_MS_MAX || value > CODEC_MS_MAX)
 		return set_decode_error(what, err);
-	*value = (int64_t)object->via.u64;
+	*value_ms = value;
 	return true;
 }
 
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -20,6 +20,9 @@
 
 enum { CODEC_MAX_DEPTH = 8, CODEC_LENGTH_BYTES = 4 };
 
+/* The sum of two such durations fits 64 bits in microseconds. */
+#define CODEC_MS_MAX (INT64_MAX / 2000)
+
 /**
  * struct message - one decoded message
  * @type: first element of the array, a frame type
@@ -98,8 +101,13 @@
 		 uint64_t *value, const char *what, struct error *err);
 bool decode_uint32(const msgpack_object *object, uint32_t value_max,
 		   uint32_t *value, const char *what, struct error *err);
-bool decode_int(const msgpack_object *object, int64_t *value, const char *what,
-		struct error *err);
+/**
+ * decode_ms() - decodes a duration in milliseconds, at most CODEC_MS_MAX
+ *
+ * It may be negative.
+ */
+bool decode_ms(const msgpack_object *object, int64_t *value_ms,
+	       const char *what, struct error *err);
 /**
  * decode_text() - copies a string without NUL bytes, which must fit @size bytes
  *	with its terminator
