--- a/test/functional/endless_request_test.c
+++ b/test/functional/endless_request_test.c
@@ -36,6 +36,9 @@
 	BLOCK_BYTES = 64 * 1024,
 	BODY_MAX_BYTES = 32 * 1024,
 	HELD_MAX_KB = SENDERS * 1024,
+	/* A large document, in the answer and decoded. */
+	STORE_HELD_MAX_KB = 2 * 16 * 1024,
+	STORE_MS = 3000,
 };
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -426,3 +429,48 @@
 {
 	play_all(PEER, frames, COUNT(frames));
 }
+
+/* Guards against a node that keeps all bytes of an answer of the store, in each
+ * of its calls, until its memory is used up. */
+Test(endless_request, a_store_without_end_is_bounded, .init = start,
+     .fini = stop, .timeout = 300)
+{
+	static const char *const kinds[] = {
+		"noise",
+		"blank-lines",
+		"endless-field",
+		"endless-fields",
+		"endless-body",
+		"endless-chunks",
+		"endless-extension",
+		"endless-trailers",
+		"informational",
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(kinds); i++) {
+		const char *const args[] = { "upstream",   "--service", "store",
+					     "--announce", "",		"--odd",
+					     kinds[i],	   NULL };
+		int64_t until_us;
+		long before_kb;
+		long held_kb;
+
+		process_kill(&place.node);
+		process_kill(&place.metadata);
+		start_child(&place.metadata, "standin", args);
+		process_ready_text(&place.metadata, "address",
+				   place.metadata_address, ADDRESS_TEXT_SIZE);
+		start_node();
+		before_kb = peak_kb();
+		until_us = clock_monotonic_us() + STORE_MS * US_PER_MS;
+		while (clock_monotonic_us() < until_us)
+			sleep_ms(POLL_MS);
+		cr_expect_not(process_wait(&place.node, 0), "%s: node ended",
+			      kinds[i]);
+		held_kb = peak_kb() - before_kb;
+		cr_expect_leq(held_kb, STORE_HELD_MAX_KB, "%s: %ld kB",
+			      kinds[i], held_kb);
+		printf("store, %s: %ld kB\n", kinds[i], held_kb);
+	}
+}
