call: answers that are being read count towards the memory for bodies

What callers saw, in a report of another operator: a faulty backend sent bodies without end, the process beside it kept them all and ran out of memory, and the requests of other clients ended with it. Here each answer is cut at call.max_body_bytes, but the sum over all calls had no bound: call.memory_max_bytes counted bodies of requests and finished answers only.

Now all answers of the upstream are counted together as they are read. The one that passes call.memory_max_bytes is cut like one that passes its own bound (may-have-run, named in the line of the call).

The unit test is answer_meter/bodies_are_counted_together; answer_meter/bounds has one argument more and is otherwise unchanged.

--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -324,6 +324,7 @@
 
 	memset(server, 0, sizeof(*server));
 	server->options = *options;
+	server->answers.bytes_max = options->held_bytes_max;
 	recent_init(&server->recent, &options->limits);
 	fingerprint_key_init(&server->fingerprint_key, &options->hub->key);
 	request_stats_init(&server->request_stats,
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -48,7 +48,8 @@
  * @keep_rate_limit: setting gate.keep_rate_limit
  * @heed_leaving: setting call.heed_leaving
  * @by_speed: setting route.by_speed
- * @held_bytes_max: largest total size of the request bodies held, in bytes
+ * @held_bytes_max: largest total size of the request bodies held, and of the
+ *	answers being read, in bytes
  * @body_bytes_max: largest size of one request body, in bytes
  * @answer_bytes_max: largest size of one answer, in bytes
  * @connect_timeout_ms: timeout for a new connection to the upstream, in
@@ -120,6 +121,7 @@
 	struct request_stats request_stats; /* of the present incarnation */
 	int64_t warm_from_us; /* statistics count times from then on */
 	size_t held_bytes;
+	struct answer_total answers;
 	struct encoder encoder;
 	struct deferred pump;
 	struct timer gate_timer;
--- a/src/call/upstream.c
+++ b/src/call/upstream.c
@@ -281,6 +281,7 @@
 		.connect_timeout_ms = connect_ms(inbound, now_us),
 		.timeout_ms = wait_ms > 0 ? wait_ms : 1,
 		.max_answer_bytes = inbound->server->options.answer_bytes_max,
+		.total = &inbound->server->answers,
 		.echo_header = names->passes_request_id ? names->request_id
 							: NULL,
 	};
--- a/src/http/answer_meter.c
+++ b/src/http/answer_meter.c
@@ -4,10 +4,19 @@
 
 #include "http/head.h"
 
-void answer_meter_init(struct answer_meter *meter, uint64_t body_max)
+void answer_meter_init(struct answer_meter *meter, uint64_t body_max,
+		       struct answer_total *total)
 {
 	memset(meter, 0, sizeof(*meter));
 	meter->body_max = body_max;
+	meter->total = total;
+}
+
+void answer_meter_finish(struct answer_meter *meter)
+{
+	if (meter->total)
+		meter->total->bytes -= meter->body_bytes;
+	meter->body_bytes = 0;
 }
 
 static void begin_fields(struct answer_meter *meter)
@@ -20,7 +29,7 @@
 void answer_meter_begin(struct answer_meter *meter)
 {
 	begin_fields(meter);
-	meter->body_bytes = 0;
+	answer_meter_finish(meter);
 }
 
 void answer_meter_head_end(struct answer_meter *meter)
@@ -69,8 +78,14 @@
 bool answer_meter_add_body(struct answer_meter *meter, size_t size)
 {
 	meter->body_bytes += size;
-	return check(meter, ANSWER_LIMIT_BODY_BYTES, meter->body_bytes,
-		     meter->body_max);
+	if (meter->total)
+		meter->total->bytes += size;
+	if (!check(meter, ANSWER_LIMIT_BODY_BYTES, meter->body_bytes,
+		   meter->body_max))
+		return false;
+	return !meter->total ||
+	       check(meter, ANSWER_LIMIT_TOTAL_BYTES, meter->total->bytes,
+		     meter->total->bytes_max);
 }
 
 void answer_meter_add_read(struct answer_meter *meter, size_t size)
@@ -103,6 +118,8 @@
 		return "bytes of fields";
 	case ANSWER_LIMIT_BODY_BYTES:
 		return "bytes of body";
+	case ANSWER_LIMIT_TOTAL_BYTES:
+		return "bytes of all bodies";
 	case ANSWER_LIMIT_OTHER_BYTES:
 		return "bytes besides the body";
 	case ANSWER_LIMIT_HEAD_MS:
--- a/src/http/answer_meter.h
+++ b/src/http/answer_meter.h
@@ -19,6 +19,7 @@
 	ANSWER_LIMIT_FIELDS,	  /* fields of the head or the trailers */
 	ANSWER_LIMIT_FIELD_BYTES, /* bytes of the head or the trailers */
 	ANSWER_LIMIT_BODY_BYTES,
+	ANSWER_LIMIT_TOTAL_BYTES, /* bodies of all answers counted together */
 	/* All bytes besides the body: heads, answers that are skipped, blank
 	 * lines, chunk sizes and extensions. */
 	ANSWER_LIMIT_OTHER_BYTES,
@@ -32,9 +33,20 @@
 	ANSWER_HEAD_MAX_MS = 5000,
 };
 
+/**
+ * struct answer_total - bodies of several answers, counted together
+ * @bytes: size of the bodies that are held
+ * @bytes_max: maximum of @bytes
+ */
+struct answer_total {
+	uint64_t bytes;
+	uint64_t bytes_max;
+};
+
 /**
  * struct answer_meter - what the server has sent
  * @body_max: maximum size of the body in bytes
+ * @total: counts the body with those of other answers; NULL for none
  * @fields: fields of the present head or trailers
  * @field_bytes: their size, see HTTP_FIELDS_MAX_BYTES
  * @in_value: whether the last piece of a field belonged to its value
@@ -46,6 +58,7 @@
  */
 struct answer_meter {
 	uint64_t body_max;
+	struct answer_total *total;
 	uint32_t fields;
 	uint64_t field_bytes;
 	bool in_value;
@@ -55,7 +68,15 @@
 	uint64_t maximum;
 };
 
-void answer_meter_init(struct answer_meter *meter, uint64_t body_max);
+/**
+ * answer_meter_init() - begins to count
+ * @total: must outlive the meter; may be NULL
+ */
+void answer_meter_init(struct answer_meter *meter, uint64_t body_max,
+		       struct answer_total *total);
+
+/** answer_meter_finish() - takes the body off the total. */
+void answer_meter_finish(struct answer_meter *meter);
 
 /** answer_meter_begin() - begins an answer with its head. */
 void answer_meter_begin(struct answer_meter *meter);
--- a/src/http/answer_meter_test.c
+++ b/src/http/answer_meter_test.c
@@ -119,7 +119,7 @@
 		size_t j;
 		uint32_t k;
 
-		answer_meter_init(&meter, BODY_MAX_BYTES);
+		answer_meter_init(&meter, BODY_MAX_BYTES, NULL);
 		answer_meter_begin(&meter);
 		for (j = 0; j < COUNT(cases[i].steps) && fits; j++)
 			for (k = 0; k < cases[i].steps[j].count && fits; k++)
@@ -130,3 +130,32 @@
 			     cases[i].name, answer_limit_name(meter.passed));
 	}
 }
+
+/* Guards against answers that together hold more than the process may, and
+ * against a total that is never given back. */
+Test(answer_meter, bodies_are_counted_together)
+{
+	enum { ANSWERS = 4 };
+	struct answer_total total = { .bytes_max = 2 * BODY_MAX_BYTES };
+	struct answer_meter meters[ANSWERS];
+	int i;
+
+	for (i = 0; i < ANSWERS; i++) {
+		answer_meter_init(&meters[i], BODY_MAX_BYTES, &total);
+		answer_meter_begin(&meters[i]);
+		cr_expect_eq(answer_meter_add_body(&meters[i], BODY_MAX_BYTES),
+			     i < 2, "answer %d", i);
+		cr_expect_eq(meters[i].passed,
+			     i < 2 ? ANSWER_LIMIT_NONE
+				   : ANSWER_LIMIT_TOTAL_BYTES,
+			     "answer %d", i);
+	}
+	for (i = 0; i < ANSWERS; i++)
+		answer_meter_finish(&meters[i]);
+	cr_expect_eq(total.bytes, 0);
+	answer_meter_init(&meters[0], BODY_MAX_BYTES, &total);
+	answer_meter_begin(&meters[0]);
+	cr_expect(answer_meter_add_body(&meters[0], BODY_MAX_BYTES));
+	answer_meter_begin(&meters[0]);
+	cr_expect_eq(total.bytes, 0, "the next answer begins");
+}
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -39,6 +39,7 @@
 		net_close(transfer->connected_fd);
 	buffer_finish(&transfer->out);
 	buffer_finish(&transfer->body);
+	answer_meter_finish(&transfer->meter);
 	http_head_finish(&transfer->head);
 	free(transfer->echo_header);
 	free(transfer->echo_value);
@@ -258,7 +259,8 @@
 		transfer->connect_deadline_us =
 			now_us + request->connect_timeout_ms * US_PER_MS;
 	transfer->idle_max_us = request->idle_max_ms * US_PER_MS;
-	answer_meter_init(&transfer->meter, request->max_answer_bytes);
+	answer_meter_init(&transfer->meter, request->max_answer_bytes,
+			  request->total);
 }
 
 struct http_transfer *http_client_send(struct http_client *client,
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,6 +8,7 @@
 #include "base/buffer.h"
 #include "base/error.h"
 #include "event/loop.h"
+#include "http/answer_meter.h"
 #include "http/server.h"
 
 /**
@@ -38,6 +39,8 @@
  * @timeout_ms: maximum time for the whole exchange, in milliseconds; 0 for no
  *	limit
  * @max_answer_bytes: maximum size of the body of the answer
+ * @total: counts the body of the answer with those of other requests; outlives
+ *	the request; NULL for none
  * @new_connection: whether to use a new connection and close it afterwards
  * @idle_max_ms: maximum idle time of a connection to reuse, in milliseconds; 0
  *	for the limit of the connection alone. If the server closes an idle
@@ -63,6 +66,7 @@
 	int64_t connect_timeout_ms;
 	int64_t timeout_ms;
 	size_t max_answer_bytes;
+	struct answer_total *total;
 	bool new_connection;
 	int64_t idle_max_ms;
 	int connected_fd;
--- a/test/functional/endless_request_test.c
+++ b/test/functional/endless_request_test.c
@@ -24,6 +24,13 @@
  * serves other callers at the same time.
  */
 
+/* Sanitizers put space around each piece of memory. */
+#ifdef __SANITIZE_ADDRESS__
+enum { MEMORY_FACTOR = 2 };
+#else
+enum { MEMORY_FACTOR = 1 };
+#endif
+
 enum {
 	POLL_MS = 20,
 	WAIT_MS = BACKGROUND_WAIT_MS,
@@ -35,10 +42,14 @@
 	STILL_ROUNDS = 15,
 	BLOCK_BYTES = 64 * 1024,
 	BODY_MAX_BYTES = 32 * 1024,
-	HELD_MAX_KB = SENDERS * 1024,
+	LARGE_BODY_MAX_BYTES = 1024 * 1024,
+	MEMORY_MAX_BYTES = 16 * 1024 * 1024,
+	HELD_MAX_KB = MEMORY_FACTOR * SENDERS * 1024,
 	/* A large document, in the answer and decoded. */
-	STORE_HELD_MAX_KB = 2 * 16 * 1024,
+	STORE_HELD_MAX_KB = MEMORY_FACTOR * 2 * 16 * 1024,
 	STORE_MS = 3000,
+	/* What a node may take in all, see CONTRIBUTING.md. */
+	NODE_MAX_KB = MEMORY_FACTOR * 128 * 1000,
 };
 
 #define COUNT(a) (sizeof(a) / sizeof((a)[0]))
@@ -57,6 +68,8 @@
 	char upstream_address[ADDRESS_TEXT_SIZE];
 	struct process node;
 	char listeners[LISTENERS][ADDRESS_TEXT_SIZE];
+	int max_body_bytes;
+	int slots;
 	int64_t sequence; /* of the last heartbeat */
 } place;
 
@@ -68,14 +81,15 @@
 	"upstream = \"127.0.0.1:0\"\noperator = \"127.0.0.1:0\"\n"
 	"[peers]\nsecret = \"a secret of the tests\"\n"
 	"[platform]\naddress = \"%s\"\ntimeout_ms = 1000\n"
-	"[call]\nlinger_ms = 0\nkeep_upstream_ms = 0\nmax_body_bytes = %d\n";
+	"[call]\nlinger_ms = 0\nkeep_upstream_ms = 0\nmax_body_bytes = %d\n"
+	"memory_max_bytes = %d\n";
 
 static const char document[] =
 	"{\"version\":\"r1\",\"routes\":{\"r-1\":{\"host\":\"h.example\","
 	"\"prefix\":\"/lepu/\",\"kind\":\"safe\",\"timeout_s\":5,"
 	"\"target_latency_s\":1,\"priority\":0,\"service\":\"huvo\","
 	"\"max_attempts\":1}},\"services\":{\"huvo\":{\"health_path\":"
-	"\"/healthz\",\"max_connections\":50}}}";
+	"\"/healthz\",\"max_connections\":600}}}";
 
 static long post(const char *address, const char *path, const char *body)
 {
@@ -112,7 +126,8 @@
 	snprintf(path, sizeof(path), "%s/node.toml", place.directory);
 	file = fopen(path, "we");
 	cr_assert_not_null(file);
-	fprintf(file, settings_format, place.metadata_address, BODY_MAX_BYTES);
+	fprintf(file, settings_format, place.metadata_address,
+		place.max_body_bytes, MEMORY_MAX_BYTES);
 	cr_assert_eq(fclose(file), 0);
 	start_child(&place.node, "geraniumplank", args);
 	for (i = 0; i < LISTENERS; i++)
@@ -145,6 +160,8 @@
 	setenv("ASAN_OPTIONS",
 	       "quarantine_size_mb=0:thread_local_quarantine_size_kb=0", 1);
 	memset(&place, 0, sizeof(place));
+	place.max_body_bytes = BODY_MAX_BYTES;
+	place.slots = 6;
 	snprintf(place.directory, PATH_SIZE, "/tmp/geraniumplank-XXXXXX");
 	cr_assert_not_null(mkdtemp(place.directory));
 	start_child(&place.metadata, "standin", metadata);
@@ -175,9 +192,10 @@
 	snprintf(body, sizeof(body),
 		 "{\"address\":\"%s\",\"born\":1764720000000,"
 		 "\"info\":{\"service\":\"huvo\",\"version\":\"v1\","
-		 "\"zone\":\"hall\",\"slots\":6},\"status\":{\"state\":"
+		 "\"zone\":\"hall\",\"slots\":%d},\"status\":{\"state\":"
 		 "\"ready\",\"seq\":%lld,\"cold_left_s\":0}}",
-		 place.upstream_address, (long long)++place.sequence);
+		 place.upstream_address, place.slots,
+		 (long long)++place.sequence);
 	post(place.listeners[UPSTREAM], "/-/Instances.Heartbeat/i-1", body);
 }
 
@@ -474,3 +492,46 @@
 		printf("store, %s: %ld kB\n", kinds[i], held_kb);
 	}
 }
+
+static void set_kind(const char *kind)
+{
+	char body[TEXT_SIZE];
+
+	snprintf(body, sizeof(body), "{\"odd\":\"%s\"}", kind);
+	cr_assert_eq(post(place.upstream_address, "/standin/faults", body), 200,
+		     "%s", kind);
+}
+
+/* Guards against a node that keeps the answers of a faulty upstream up to the
+ * limit of one answer, in each of several hundred calls. */
+Test(endless_request, answers_of_many_calls_are_bounded, .init = start,
+     .fini = stop, .timeout = 300)
+{
+	static const char *const kinds[] = { "endless-body", "endless-chunks" };
+	static const struct endless calls = { "calls", TEXT(""), TEXT(WHOLE) };
+	struct sender senders[SENDERS];
+	size_t i;
+	int j;
+
+	process_kill(&place.node);
+	place.max_body_bytes = LARGE_BODY_MAX_BYTES;
+	place.slots = 512;
+	start_node();
+	cr_assert(wait_served());
+	for (i = 0; i < COUNT(kinds); i++) {
+		set_kind(kinds[i]);
+		for (j = 0; j < SENDERS; j++)
+			senders[j] = (struct sender){
+				.fd = open_connection(place.listeners[CALLER]),
+			};
+		send_all(senders, &calls);
+		set_kind("");
+		for (j = 0; j < SENDERS; j++)
+			if (senders[j].fd >= 0)
+				close(senders[j].fd);
+		cr_expect(wait_served(), "%s", kinds[i]);
+		cr_expect_leq(peak_kb(), NODE_MAX_KB, "%s: %ld kB", kinds[i],
+			      peak_kb());
+		printf("answers, %s: %ld kB in all\n", kinds[i], peak_kb());
+	}
+}
