--- a/src/http/answer_meter.h
+++ b/src/http/answer_meter.h
@@ -59,13 +59,13 @@
 struct answer_meter {
 	uint64_t body_max;
 	struct answer_total *total;
-	uint32_t fields;
 	uint64_t field_bytes;
-	bool in_value;
 	uint64_t body_bytes;
 	uint64_t read_bytes;
-	enum answer_limit passed;
 	uint64_t maximum;
+	uint32_t fields;
+	enum answer_limit passed;
+	bool in_value;
 };
 
 /**
