wire: test of the bound of frames in bulk

A peer that sends frames of versions faster than they are handled: the connection holds 4 MiB of them, and the frame that is coming, and is not read meanwhile.

--- a/src/wire/hub_test.c
+++ b/src/wire/hub_test.c
@@ -373,6 +373,58 @@
 	loop_finish(&loop);
 }
 
+static size_t held_max_bytes;
+
+/* Takes longer than a frame takes to arrive. */
+static void on_slow_bulk(struct wire_conn *conn, const struct message *message,
+			 void *data)
+{
+	size_t held = buffer_size(&conn->bulk) + buffer_size(&conn->in);
+
+	if (held > held_max_bytes)
+		held_max_bytes = held;
+	on_bulk(conn, message, data);
+}
+
+/* Guards against a node that keeps all frames of a peer that sends them faster
+ * than they are handled. */
+Test(hub, frames_in_bulk_are_held_up_to_a_bound, .init = setup)
+{
+	enum {
+		FRAMES = 640,
+		PAYLOAD_BYTES = 50 * 1000,
+		QUEUED_MAX_BYTES = 1024 * 1024,
+		/* Bytes that wait, and a frame of which a part has come. */
+		HELD_MAX_BYTES = 4 * 1024 * 1024 + WIRE_FRAME_MAX_BYTES,
+	};
+	static struct end peer;
+	static struct end node;
+	struct wire_conn *conn;
+	uint32_t sent = 0;
+	int i;
+
+	end_init(&peer, "cellar", "secret");
+	end_init(&node, "cellar", "secret");
+	wire_hub_register(&node.hub, FRAME_RANGE_SPREAD, on_slow_bulk, NULL,
+			  &node);
+	conn = wire_hub_connect(&peer.hub, &node.hub.self.address);
+	turn_until(&node.opened, 1);
+	turn_until(&peer.opened, 1);
+	for (i = 0; i < FRAMES * TURNS && node.bulk < FRAMES; i++) {
+		while (sent < FRAMES &&
+		       wire_conn_queued_bytes(conn) < QUEUED_MAX_BYTES) {
+			send_frame(conn, FRAME_RANGE_SPREAD, PAYLOAD_BYTES);
+			sent++;
+		}
+		loop_turn(&loop, TURN_US);
+	}
+	cr_expect_eq(node.bulk, FRAMES);
+	cr_expect_leq(held_max_bytes, HELD_MAX_BYTES, "%zu", held_max_bytes);
+	wire_hub_finish(&peer.hub);
+	wire_hub_finish(&node.hub);
+	loop_finish(&loop);
+}
+
 /*
  * Frames of calls between data centres are compressed, and no others. Frames of
  * any size arrive.
