http: a connection lingers while its caller receives the answer

What callers saw: an answer cut in its body. A client with a small window reads an answer that ends its connection (Connection: close, as each answer of a draining node) for longer than a second, and sends its next request meanwhile.

Cause: after the last answer a connection lingers for 1 s, so that input which is still coming does not reset it, and is then closed, whatever the kernel still holds of the answer; the next bytes of the client then reset it.

linger/a_slow_client_gets_its_whole_answer failed before: "reset after 45056 bytes" of 300,000. Now the connection lingers on as long as the caller has received bytes within the last second; a client that does not read is left after a second or two as before (linger/a_client_that_does_not_read_is_left, which holds before and after), and the line closed_undelivered tells what it did not get.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -135,6 +135,7 @@
 	conn->state = CONN_LINGERING;
 	shutdown(conn->fd, SHUT_WR);
 	conn->read_paused = false;
+	conn->undelivered_bytes = net_undelivered_bytes(conn->fd);
 	begin_wait(conn);
 	update_watch(conn);
 }
@@ -228,23 +229,6 @@
 	return false;
 }
 
-static bool is_ambiguous(const struct http_exchange *exchange)
-{
-	const struct http_head *head = &exchange->head;
-
-	/* The parser accepts blanks before the colon, and any first byte of a
-	 * value. An upstream could read such a field as a different field than
-	 * this process does. */
-	if (head->invalid)
-		return true;
-	if (http_head_find(head, "Transfer-Encoding") &&
-	    http_head_find(head, "Content-Length"))
-		return true;
-	return http_head_count(head, "Content-Length") > 1 ||
-	       http_head_count(head, "Transfer-Encoding") > 1 ||
-	       http_head_count(head, "Host") > 1;
-}
-
 static void send_continue(struct http_conn *conn)
 {
 	static const char line[] = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -277,8 +261,8 @@
 		refuse(conn, STATUS_HEAD_TOO_LARGE, "head-too-large");
 		return -1;
 	}
-	if (is_ambiguous(exchange) || parser->method == HTTP_CONNECT ||
-	    parser->http_major != 1) {
+	if (http_head_is_ambiguous(&exchange->head) ||
+	    parser->method == HTTP_CONNECT || parser->http_major != 1) {
 		counter_add(&malformed_count, 1);
 		refuse(conn, STATUS_BAD_REQUEST, "bad-request");
 		return -1;
@@ -548,8 +532,22 @@
 		write_output(conn);
 }
 
+/* Returns true if the caller has received bytes of its answers during the wait
+ * and does not have all of them. */
+static bool is_receiving(struct http_conn *conn)
+{
+	size_t before = conn->undelivered_bytes;
+
+	conn->undelivered_bytes = net_undelivered_bytes(conn->fd);
+	return conn->undelivered_bytes && conn->undelivered_bytes < before;
+}
+
 static void wait_expired(struct http_conn *conn)
 {
+	if (conn->state == CONN_LINGERING && is_receiving(conn)) {
+		begin_wait(conn);
+		return;
+	}
 	if (conn->in_head && conn->state == CONN_OPEN) {
 		refuse(conn, STATUS_TIMEOUT, "head-timeout");
 		return;
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -102,6 +102,8 @@
  * @out: output that is not written yet
  * @queued_bytes: total number of bytes appended to @out
  * @written_bytes: total number of bytes written to the socket
+ * @undelivered_bytes: bytes that the caller had not received at the start of
+ *the current wait in CONN_LINGERING
  * @wait_start_us: start of the current wait, in microseconds of the loop time
  */
 struct http_conn {
@@ -126,6 +128,7 @@
 	struct buffer out;
 	uint64_t queued_bytes;
 	uint64_t written_bytes;
+	size_t undelivered_bytes;
 	int64_t wait_start_us;
 };
 
--- a/src/http/conn_log.c
+++ b/src/http/conn_log.c
@@ -94,6 +94,7 @@
 	DL_FOREACH(conn->exchanges, exchange)
 		if (is_cut(exchange, end))
 			log_cut(exchange, end);
-	if (!conn->exchanges && end == CONN_END_STOPPED)
+	if (!conn->exchanges &&
+	    (end == CONN_END_STOPPED || end == CONN_END_IDLE))
 		log_undelivered(conn);
 }
--- a/src/http/head.c
+++ b/src/http/head.c
@@ -139,3 +139,18 @@
 	}
 	return NULL;
 }
+
+bool http_head_is_ambiguous(const struct http_head *head)
+{
+	/* The parser accepts blanks before the colon, and any first byte of a
+	 * value. An upstream could read such a field as a different field than
+	 * this process does. */
+	if (head->invalid)
+		return true;
+	if (http_head_find(head, "Transfer-Encoding") &&
+	    http_head_find(head, "Content-Length"))
+		return true;
+	return http_head_count(head, "Content-Length") > 1 ||
+	       http_head_count(head, "Transfer-Encoding") > 1 ||
+	       http_head_count(head, "Host") > 1;
+}
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -86,6 +86,12 @@
  */
 const char *http_head_find(const struct http_head *head, const char *name);
 
+/**
+ * http_head_is_ambiguous() - returns true if an upstream could read the head in
+ *	another way than this process does
+ */
+bool http_head_is_ambiguous(const struct http_head *head);
+
 /** http_head_count() - returns the number of fields named @name. */
 uint32_t http_head_count(const struct http_head *head, const char *name);
 
