node: groups that do not know each other read the members record

What was seen: partition/nodes_without_seeds_find_each_other_by_the_platform failed once with sanitizers: a node did not know all four after 30 s. Its log was not kept.

Cause found by reading the code and shown by a play: on the own interface a data centre has two reader leases. Nodes that start without seeds all count as rank 0, so two of them that do not know each other hold both, and each writes its own addresses into the members record, by compare-and-swap over those of the other, 2 to 4 s after its lease. Nodes read the record 0.3, 2.3, 6.3 and 14.3 s after their start, and only while they know no other node. If one node reads the first list and another one the second, two groups form, each with a reader and with members; nobody reads the record any more, and the groups stay apart for good. On a fast machine all reads come before or after both writes; on a slow one they mix. That the failure seen was this one is likely and not proven.

A reader now contacts the addresses in the record before it replaces them, so that the writers of successive records know each other. And the node with the first rank of each group goes on to read the record, every 10 s, as nodes do with the directory on the target platform: a group may hold no lease at all. Addresses of this node and of reachable nodes are not kept as seeds, of which there is room for 64. Cost: one read in 10 s for each data centre, on the own interface alone.

Both tests print the end of the log of each node when they fail.

--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -51,6 +51,8 @@
  * @started_us: time at which the node started, in microseconds
  * @next_find_us: time, in microseconds, before which a node that knows no other
  *	member does not query the platform for members again
+ * @next_groups_us: time, in microseconds, before which a node that knows others
+ *	does not look there for nodes that these do not know
  * @find_backoff_ms: last wait between these queries, in milliseconds; 0 before
  *	the first query
  * @settings_timer: timer that checks the settings file for changes
@@ -103,6 +105,7 @@
 	struct timer rank_timer;
 	int64_t started_us;
 	int64_t next_find_us;
+	int64_t next_groups_us;
 	int64_t find_backoff_ms;
 	struct timer metrics_timer;
 	struct timer settings_timer;
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -42,6 +42,7 @@
 	EARLY_READ_LINK_MIN_MBPS = 20,
 	FIND_BACKOFF_MIN_MS = 2000,
 	FIND_BACKOFF_MAX_MS = 60000,
+	FIND_GROUPS_MS = 10000,
 	LEASE_RENEW_DIVISOR = 3,
 	LEASE_MARGIN_DIVISOR = 5,
 	CALL_BURST_S = 2,
@@ -78,6 +79,22 @@
 	return used;
 }
 
+/* Returns true for addresses of this node and of reachable nodes: as seeds,
+ * they would leave no room for others. */
+static bool is_known(const struct node *node, const struct address *address)
+{
+	const struct members *members = &node->gossip.members;
+	const struct member *member = NULL;
+
+	if (address_equal(&node->hub.self.address, address))
+		return true;
+	while ((member = members_next(members, member)))
+		if (members_reachable(members, member) &&
+		    address_equal(&member->record.address, address))
+			return true;
+	return false;
+}
+
 static void add_member_seeds(const char *text, size_t size, void *data)
 {
 	struct node *node = data;
@@ -92,7 +109,8 @@
 
 		snprintf(line, sizeof(line), "%.*s",
 			 length < sizeof(line) ? (int)length : 0, text);
-		if (address_parse(line, &address, &err))
+		if (address_parse(line, &address, &err) &&
+		    !is_known(node, &address))
 			gossip_add_seed(&node->gossip, &address);
 		text = newline ? newline + 1 : end;
 	}
@@ -113,6 +131,18 @@
 	reader_find_members(&node->reader, add_member_seeds, node);
 }
 
+/* Nodes that start together may form groups that do not know each other: two
+ * readers wrote the members record in turn, and each node read one of both. Of
+ * each group, the node with the first rank goes on to read the record. */
+static void find_groups(struct node *node, int64_t now_us)
+{
+	if (now_us < node->next_groups_us || has_no_members(node) ||
+	    gossip_rank(&node->gossip, reader_duty))
+		return;
+	node->next_groups_us = now_us + FIND_GROUPS_MS * US_PER_MS;
+	reader_find_members(&node->reader, add_member_seeds, node);
+}
+
 static int64_t grace_us(const struct node *node)
 {
 	int64_t grace_ms = node->settings->node.first_start
@@ -181,8 +211,10 @@
 	if (!wait && !node->leaving)
 		reader_set_rank(&node->reader,
 				gossip_rank(&node->gossip, "reader"));
-	if (!node->leaving)
+	if (!node->leaving) {
 		find_members_if_none(node, now_us);
+		find_groups(node, now_us);
+	}
 	timer_set(&node->loop, timer, now_us + RANK_INTERVAL_MS * US_PER_MS);
 }
 
@@ -267,6 +299,7 @@
 		.holder = node->holder,
 		.seed = node_seed(),
 		.members = write_members,
+		.listed = add_member_seeds,
 		.orders = elects_by_rank(node) &&
 					  node->settings->rollout.enabled
 				  ? forward_orders
--- a/src/profile/reader.c
+++ b/src/profile/reader.c
@@ -39,6 +39,7 @@
 	reader->store = store;
 	reader->keeper = keeper;
 	reader->members = options->members;
+	reader->listed = options->listed;
 	reader->elected = options->elected;
 	reader->data = options->data;
 	reader->form = options->form;
@@ -379,6 +380,12 @@
 	snprintf(key, STORE_KEY_SIZE, "members/%s", reader->data_centre);
 }
 
+static bool holds_members(const struct store_result *result)
+{
+	return result->outcome == STORE_TOOK_EFFECT &&
+	       result->size <= READER_MEMBERS_SIZE;
+}
+
 static void members_get_done(const struct store_result *result, void *data)
 {
 	struct reader *reader = data;
@@ -394,6 +401,9 @@
 		     result->reason == STORE_ABSENT;
 
 	reader->members_call = NULL;
+	if (reader->listed && holds_members(result))
+		reader->listed((const char *)result->value, result->size,
+			       reader->data);
 	if (known)
 		request.size =
 			reader->members(text, sizeof(text), reader->data);
@@ -556,8 +566,7 @@
 {
 	struct reader *reader = data;
 	reader_found_fn *on_found = reader->on_found;
-	bool exists = result->outcome == STORE_TOOK_EFFECT &&
-		      result->size <= READER_MEMBERS_SIZE;
+	bool exists = holds_members(result);
 
 	reader->find_call = NULL;
 	on_found(exists ? (const char *)result->value : NULL,
--- a/src/profile/reader.h
+++ b/src/profile/reader.h
@@ -53,6 +53,8 @@
  * @lease: options of the reader lease
  * @seed: seed of the random jitter
  * @members: may be NULL: the members record is not written then
+ * @listed: receives the members record before it is written, so that readers
+ *	whose nodes do not know each other find each other; may be NULL
  * @orders: may be NULL: orders are not read then. Called before the keeper is
  *	offered the head that was read after the orders, so that a node with a
  *	version has the orders for the version
@@ -68,6 +70,7 @@
 	struct lease_options lease;
 	uint64_t seed;
 	reader_members_fn *members;
+	reader_found_fn *listed;
 	orders_changed_fn *orders;
 	void (*elected)(bool is_reader, void *data);
 	void *data;
@@ -107,6 +110,7 @@
 	char data_centre[READER_DATA_CENTRE_SIZE];
 	char holder[STORE_HOLDER_SIZE];
 	reader_members_fn *members;
+	reader_found_fn *listed;
 	struct orders orders;
 	void *data;
 	struct timer timer;
@@ -174,9 +178,10 @@
 /**
  * reader_find_members() - reads the members record of the data centre once
  *
- * For a node that starts without peers. The store retries the read until its
- * deadline; the caller repeats the search with growing delays while the node
- * has no peers. If a read is in flight, only the callback is replaced.
+ * For a node that has no peers, or that looks for nodes that its own do not
+ * know. The store retries the read until its deadline; the caller repeats the
+ * search with growing delays while the node has no peers. If a read is in
+ * flight, only the callback is replaced.
  */
 void reader_find_members(struct reader *reader, reader_found_fn *on_found,
 			 void *data);
--- a/src/profile/reader_test.c
+++ b/src/profile/reader_test.c
@@ -22,13 +22,21 @@
 	return (size_t)snprintf(text, size, "127.0.0.1:7001");
 }
 
+static char listed_text[TEXT_SIZE];
+
+static void listed(const char *text, size_t size, void *data)
+{
+	snprintf(listed_text, sizeof(listed_text), "%.*s", (int)size, text);
+}
+
 static void setup(void)
 {
 	struct store_options options;
 	struct reader_options reader_options = { .data_centre = "dc1",
 						 .holder = "n1/5",
 						 .seed = 1,
-						 .members = members };
+						 .members = members,
+						 .listed = listed };
 
 	apr_initialize();
 	cr_assert(loop_init(&loop, &err));
@@ -251,6 +259,30 @@
 		       "an unchanged record is not written");
 }
 
+/* Guards against two readers that replace each other's addresses and whose
+ * nodes never find each other. */
+Test(reader, addresses_of_another_reader_are_contacted_before_they_are_replaced,
+     .init = setup, .fini = teardown)
+{
+	struct store_result other = { .outcome = STORE_TOOK_EFFECT,
+				      .value =
+					      (const uint8_t *)"127.0.0.1:7002",
+				      .size = 14,
+				      .revision = 4 };
+	struct store_call *call;
+
+	acquire();
+	reader.core.next_members_us = 0;
+	await_call(STORE_WATCH);
+	reader_set_rank(&reader, 1);
+	store_end_attempt(await_call(STORE_GET), &other);
+	cr_expect_str_eq(listed_text, "127.0.0.1:7002");
+	call = await_call(STORE_PUT);
+	cr_expect_eq(store_call_request(call)->revision, 4);
+	cr_expect_not(
+		memcmp(store_call_request(call)->value, "127.0.0.1:7001", 14));
+}
+
 static uint32_t order_count;
 
 static void on_orders(const struct store_item *items, uint32_t count,
--- a/test/fleet/cluster.c
+++ b/test/fleet/cluster.c
@@ -54,11 +54,15 @@
 	uint32_t i;
 
 	fputs("seeds = [", file);
-	/* The first two nodes of each data centre that have an address. */
+	/* Of those that have an address: the other of the pair, or the first
+	 * two of each data centre. */
 	for (i = 0; !cluster->options.no_seeds && i < cluster->node_count;
 	     i++) {
-		if (i == self || cluster->nodes[i].index_in_centre > 1 ||
-		    !cluster->nodes[i].peer[0])
+		if (i == self || !cluster->nodes[i].peer[0])
+			continue;
+		if (cluster->options.seeds_in_pairs
+			    ? i / 2 != self / 2
+			    : cluster->nodes[i].index_in_centre > 1)
 			continue;
 		fprintf(file, "%s\"%s\"", comma, cluster->nodes[i].peer);
 		comma = ", ";
@@ -161,8 +165,7 @@
 				  ENDPOINT_SIZE);
 }
 
-/* Prints the end of the log of a node that did not start: the log is deleted
- * with the cluster. */
+/* Prints the end of the log of a node: the log is deleted with the cluster. */
 static void print_log(const struct cluster *cluster, uint32_t i)
 {
 	char text[LOG_PRINTED_BYTES + 1];
@@ -178,11 +181,19 @@
 		rewind(file);
 	size = fread(text, 1, LOG_PRINTED_BYTES, file);
 	text[size] = '\0';
-	fprintf(stderr, "node %u did not start, exit status %d:\n%s\n", i,
+	fprintf(stderr, "end of the log of node %u, exit status %d:\n%s\n", i,
 		cluster->nodes[i].process.exit_status, text);
 	fclose(file);
 }
 
+void cluster_print_logs(const struct cluster *cluster)
+{
+	uint32_t i;
+
+	for (i = 0; i < cluster->node_count; i++)
+		print_log(cluster, i);
+}
+
 bool cluster_start_node(struct cluster *cluster, uint32_t i)
 {
 	if (cluster_spawn_node(cluster, i) && cluster_wait_node(cluster, i))
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -41,6 +41,8 @@
  * @accounts: each upstream writes its arrivals and runs to a file, see
  *	cluster_account_path()
  * @no_seeds: nodes start without addresses of other nodes
+ * @seeds_in_pairs: a node starts with the address of the other node of its pair
+ *	alone: nodes 0 and 1, 2 and 3 and so on
  * @no_platform: starts no stand-in of the platform's service
  * @no_upstreams: starts no upstreams; nodes have a service nevertheless
  * @node_program: full path of the program of the nodes; NULL selects the one of
@@ -57,6 +59,7 @@
 	bool target_platform;
 	bool accounts;
 	bool no_seeds;
+	bool seeds_in_pairs;
 	bool no_platform;
 	bool no_upstreams;
 	const char *node_program;
@@ -156,6 +159,9 @@
 /** cluster_start_upstream() - start the upstream of node @i, also again. */
 bool cluster_start_upstream(struct cluster *cluster, uint32_t i);
 
+/** cluster_print_logs() - print the end of the log of each node. */
+void cluster_print_logs(const struct cluster *cluster);
+
 /** cluster_wait_members() - wait until each live node has @count members. */
 bool cluster_wait_members(struct cluster *cluster, uint32_t count,
 			  int64_t timeout_ms);
--- a/test/functional/partition_test.c
+++ b/test/functional/partition_test.c
@@ -43,6 +43,15 @@
 	cluster_stop(&cluster);
 }
 
+static void assert_members(uint32_t count)
+{
+	bool found = cluster_wait_members(&cluster, count, WAIT_MS);
+
+	if (!found)
+		cluster_print_logs(&cluster);
+	cr_assert(found, "each node knows all %u nodes", count);
+}
+
 static void assert_call_runs(uint32_t node)
 {
 	struct fetch fetch = { .method = "GET" };
@@ -149,5 +158,18 @@
 					   .no_seeds = true };
 
 	cr_assert(cluster_start(&cluster, &options));
-	cr_assert(cluster_wait_members(&cluster, 4, WAIT_MS));
+	assert_members(options.nodes);
+}
+
+/* Guards against groups of nodes that stay apart: each knows other nodes, so
+ * that none of them reads the addresses that the platform holds. */
+Test(partition, groups_with_seeds_of_their_own_find_each_other_by_the_platform,
+     .fini = stop, .timeout = 200)
+{
+	struct cluster_options options = { .centres = 1,
+					   .nodes = 4,
+					   .seeds_in_pairs = true };
+
+	cr_assert(cluster_start(&cluster, &options));
+	assert_members(options.nodes);
 }
