--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -274,6 +274,20 @@
 /** upstream_idle() - true if no request runs or waits. */
 bool upstream_idle(const struct upstream *upstream);
 
+/** upstream_count_run() - notes that a run of the request @id begins. */
+void upstream_count_run(struct upstream *upstream, const char *id,
+			const char *tenant);
+
+/** upstream_end_run() - notes that a run of the request @id ends. */
+void upstream_end_run(struct upstream *upstream, const char *id, bool aborted);
+
+/**
+ * upstream_list_runs() - number of runs by id
+ *
+ * Return: JSON object, owned by the caller.
+ */
+json_t *upstream_list_runs(const struct upstream *upstream);
+
 /**
  * upstream_stats() - statistics of the upstream
  * @list: adds the number of runs of each id
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -52,38 +52,6 @@
 	return text ? strtoll(text, NULL, 10) : fallback;
 }
 
-static void count_run(struct upstream *upstream, const char *id,
-		      const char *tenant)
-{
-	struct upstream_run *run;
-
-	upstream->total++;
-	HASH_FIND_STR(upstream->runs, id, run);
-	if (!run) {
-		run = calloc(1, sizeof(*run));
-		memcpy(run->id, id, sizeof(run->id));
-		snprintf(run->tenant, sizeof(run->tenant), "%s", tenant);
-		run->first_us = clock_monotonic_us();
-		HASH_ADD_STR(upstream->runs, id, run);
-		LL_PREPEND(upstream->run_list, run);
-	} else if (*id) {
-		upstream->duplicate_runs++;
-	}
-	run->tenants_differ |= strcmp(run->tenant, tenant) != 0;
-	run->count++;
-}
-
-static void note_end(const struct upstream_job *job, bool aborted)
-{
-	struct upstream_run *run;
-
-	HASH_FIND_STR(job->upstream->runs, job->id, run);
-	if (!run)
-		return;
-	run->end_us = clock_monotonic_us();
-	run->aborted = aborted;
-}
-
 static void job_free(struct upstream_job *job)
 {
 	struct upstream *upstream = job->upstream;
@@ -257,7 +225,7 @@
 		crash(upstream);
 		return;
 	}
-	note_end(job, false);
+	upstream_end_run(upstream, job->id, false);
 	if (upstream->faults.close_run > 0) {
 		upstream->faults.close_run--;
 		http_exchange_close(job->exchange);
@@ -312,7 +280,7 @@
 	upstream->running_count++;
 	job->ran = true;
 	tenant = http_exchange_header(job->exchange, "Geraniumplank-Tenant");
-	count_run(upstream, job->id, tenant ? tenant : "");
+	upstream_count_run(upstream, job->id, tenant ? tenant : "");
 	if (wait_us > 0)
 		timer_set(upstream->loop, &job->timer,
 			  clock_monotonic_us() + wait_us);
@@ -334,7 +302,7 @@
 
 	upstream->cancelled++;
 	if (job->ran)
-		note_end(job, true);
+		upstream_end_run(upstream, job->id, true);
 	job_free(job);
 	run_next(upstream);
 }
@@ -454,16 +422,6 @@
 	run_next(upstream);
 }
 
-static json_t *list_runs(const struct upstream *upstream)
-{
-	json_t *list = json_object();
-	const struct upstream_run *run;
-
-	for (run = upstream->runs; run; run = run->hh.next)
-		json_object_set_new(list, run->id, json_integer(run->count));
-	return list;
-}
-
 json_t *upstream_stats(const struct upstream *upstream, bool list)
 {
 	int64_t after_us =
@@ -496,39 +454,11 @@
 	json_object_set_new(stats, "after_leaving",
 			    json_integer(upstream->arrivals.after_leaving));
 	if (list)
-		json_object_set_new(stats, "runs", list_runs(upstream));
+		json_object_set_new(stats, "runs",
+				    upstream_list_runs(upstream));
 	return stats;
 }
 
-json_t *upstream_tenants(const struct upstream *upstream)
-{
-	json_t *runs = json_object();
-	const struct upstream_run *run;
-
-	for (run = upstream->runs; run; run = run->hh.next)
-		json_object_set_new(runs, run->id,
-				    json_pack("[s,I]",
-					      run->tenants_differ ? "?"
-								  : run->tenant,
-					      (json_int_t)run->first_us));
-	return json_pack("{s:I,s:o}", "keys_shown",
-			 (json_int_t)upstream->keys_shown, "runs", runs);
-}
-
-json_t *upstream_run_times(const struct upstream *upstream)
-{
-	json_t *runs = json_object();
-	const struct upstream_run *run;
-
-	for (run = upstream->runs; run; run = run->hh.next)
-		json_object_set_new(runs, run->id,
-				    json_pack("[i,I,I,b]", (int)run->count,
-					      (json_int_t)run->first_us,
-					      (json_int_t)run->end_us,
-					      run->aborted));
-	return runs;
-}
-
 static void reply_json(struct http_exchange *exchange, json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
