--- a/test/play/play_judge.c
+++ b/test/play/play_judge.c
@@ -217,13 +217,13 @@
 
 static void add_case(struct play_case **cases, const char *id)
 {
-	struct play_case *found;
+	static struct play_case entries[CASES_MAX];
+	uint32_t count = HASH_COUNT(*cases);
 
-	if (HASH_COUNT(*cases) >= CASES_MAX)
+	if (count == CASES_MAX)
 		return;
-	found = calloc(1, sizeof(*found));
-	snprintf(found->id, sizeof(found->id), "%s", id);
-	HASH_ADD_STR(*cases, id, found);
+	snprintf(entries[count].id, sizeof(entries[count].id), "%s", id);
+	HASH_ADD_STR(*cases, id, &entries[count]);
 }
 
 static void print_line(const struct play_case *cases,
@@ -342,8 +342,6 @@
 		const struct play_events *events)
 {
 	struct play_case *cases = NULL;
-	struct play_case *found;
-	struct play_case *next;
 	struct totals totals = { 0 };
 	uint32_t i;
 
@@ -367,8 +365,5 @@
 	}
 	print_logs(clients, cases);
 	print_totals(clients, &totals, events);
-	HASH_ITER(hh, cases, found, next) {
-		HASH_DEL(cases, found);
-		free(found);
-	}
+	HASH_CLEAR(hh, cases);
 }
