--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -125,14 +125,29 @@
 	assembly_finish(&call->answer);
 }
 
+/* Picks an endpoint other than that of the unreachable attempt: another attempt
+ * there would wait for the same node. */
+static void pick_endpoint(struct call *call)
+{
+	struct router *router = call->caller->options.router;
+	int64_t now_us = now(call->caller);
+
+	call->endpoint = placement_pick(&call->placement, router, &call->match,
+					call->call_attempts.attempt_count,
+					now_us);
+	if (!call->endpoint || !call->call_attempts.unreachable ||
+	    strcmp(call->endpoint->record.instance, call->unreachable.instance))
+		return;
+	endpoint_done(router, call->endpoint, ENDPOINT_CANCELLED, -1, 0,
+		      now_us);
+	call->endpoint = NULL;
+}
+
 void call_begin_attempt(struct call *call)
 {
 	struct caller *caller = call->caller;
 
-	call->endpoint = placement_pick(&call->placement,
-					caller->options.router, &call->match,
-					call->call_attempts.attempt_count,
-					now(caller));
+	pick_endpoint(call);
 	if (!call->endpoint) {
 		call_step_reason(call, ATTEMPT_EVENT_NO_ENDPOINT,
 				 call->refusal.reason ? call->refusal.reason
@@ -336,11 +351,18 @@
 }
 
 /* Queries the unreachable attempt again, because no other attempt is left. */
-static void resume(struct call *call, enum call_reason reason)
+static void resume(struct call *call, const struct attempt_action *action)
 {
-	struct endpoint *endpoint = router_pick_instance(
-		call->caller->options.router, call->unreachable.instance);
+	enum call_reason reason = action->reason;
+	struct endpoint *endpoint;
 
+	if (action->is_current && call->endpoint) {
+		counter_add(&resumed, 1);
+		reconnect(call, 0);
+		return;
+	}
+	endpoint = router_pick_instance(call->caller->options.router,
+					call->unreachable.instance);
 	call_end_attempt(call, ENDPOINT_FAILED, -1,
 			 call->call_attempts.last_verdict,
 			 call_reason_name(reason));
@@ -382,7 +404,7 @@
 		retry_elsewhere(call, action.reason);
 		break;
 	case ATTEMPT_RESUME:
-		resume(call, action.reason);
+		resume(call, &action);
 		break;
 	case ATTEMPT_REPLY:
 		reply(call);
@@ -506,11 +528,22 @@
 	assembly_result(call, assembly_head(&call->answer, answer));
 }
 
+/* Returns true if the call can handle the frame. Between two queries it has no
+ * connection, and its answer may still come on an earlier one. */
+static bool awaits_frame(const struct call *call,
+			 const struct call_frame *frame)
+{
+	if (call->peer)
+		return true;
+	return timer_is_set(&call->reconnect) &&
+	       frame->type != FRAME_QUERY_RESULT;
+}
+
 void caller_frame(struct caller *caller, const struct call_frame *frame)
 {
 	struct call *call = *find_bucket(caller, frame->id.sequence);
 
-	if (!call || !call->peer ||
+	if (!call || !awaits_frame(call, frame) ||
 	    frame->id.incarnation != caller->options.hub->self.incarnation) {
 		counter_add(&late, 1);
 		return;
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -16,6 +16,12 @@
 	COLD_START_MS = 3000,
 };
 
+enum {
+	/* An answer that was sent so long before its connection was lost has
+	 * reached the caller's node. */
+	DELIVERY_MAX_US = 250 * US_PER_MS,
+};
+
 COUNTER(received, "call.served", "Calls that came in for the own upstream");
 COUNTER(queries, "call.asked_about",
 	"Calls asked about after their connection was lost");
@@ -39,12 +45,22 @@
 	answer_stream_start(server, peer, &entry);
 }
 
+/* Returns true if this stopping node could have to cancel the attempt, and the
+ * caller's node could not repeat it. A refusal costs that node no retry token.
+ */
+static bool could_be_cut(const struct server *server,
+			 const struct call_request *request)
+{
+	return server->work_until_us && !request->repeatable &&
+	       now(server) + request->wait_us > server->work_until_us;
+}
+
 static enum call_reason refusal_reason(const struct server *server,
 				       const struct call_request *request)
 {
 	const struct serve_options *options = &server->options;
 
-	if (server->draining)
+	if (server->draining || could_be_cut(server, request))
 		return CALL_GATE_LEAVING;
 	if (!server->has_upstream)
 		return CALL_GATE_CLOSED;
@@ -233,6 +249,8 @@
 {
 	peer_connection_lost(peer);
 	answer_stream_drop_all(peer);
+	recent_connection_lost(&server->recent, peer->caller,
+			       now(server) - DELIVERY_MAX_US);
 	recent_caller_release(&server->recent, peer->caller);
 	DL_DELETE(server->peers, peer);
 	free(peer);
@@ -324,6 +342,7 @@
 
 	memset(server, 0, sizeof(*server));
 	server->options = *options;
+	server->answers.bytes_max = options->held_bytes_max;
 	recent_init(&server->recent, &options->limits);
 	fingerprint_key_init(&server->fingerprint_key, &options->hub->key);
 	request_stats_init(&server->request_stats,
@@ -462,11 +481,24 @@
 	inbound_run_gate(server);
 }
 
+int64_t serve_running_until_us(const struct server *server)
+{
+	const struct inbound *inbound;
+	int64_t until_us = 0;
+
+	DL_FOREACH(server->inbound_attempts, inbound)
+		if (inbound->state == INBOUND_RUNNING &&
+		    inbound->context.deadline_us > until_us)
+			until_us = inbound->context.deadline_us;
+	return until_us;
+}
+
 bool serve_idle(const struct server *server)
 {
 	const struct serve_peer *peer;
 
-	if (server->inbound_attempts || server->local.answer_streams)
+	if (server->inbound_attempts || server->local.answer_streams ||
+	    recent_is_awaited(&server->recent, now(server)))
 		return false;
 	DL_FOREACH(server->peers, peer)
 		if (peer->answer_streams ||
--- a/src/call/serve.h
+++ b/src/call/serve.h
@@ -48,7 +48,8 @@
  * @keep_rate_limit: setting gate.keep_rate_limit
  * @heed_leaving: setting call.heed_leaving
  * @by_speed: setting route.by_speed
- * @held_bytes_max: largest total size of the request bodies held, in bytes
+ * @held_bytes_max: largest total size of the request bodies held, and of the
+ *	answers being read, in bytes
  * @body_bytes_max: largest size of one request body, in bytes
  * @answer_bytes_max: largest size of one answer, in bytes
  * @connect_timeout_ms: timeout for a new connection to the upstream, in
@@ -120,12 +121,14 @@
 	struct request_stats request_stats; /* of the present incarnation */
 	int64_t warm_from_us; /* statistics count times from then on */
 	size_t held_bytes;
+	struct answer_total answers;
 	struct encoder encoder;
 	struct deferred pump;
 	struct timer gate_timer;
 	struct timer tick;
 	int64_t tick_due_us;
 	struct timer push;
+	int64_t work_until_us; /* when a stopping node cancels work; or 0 */
 	bool draining;
 };
 
@@ -177,7 +180,20 @@
  */
 const struct request_stats *serve_request_stats(struct server *server);
 
-/** serve_idle() - returns true if no attempt and no answer is pending. */
+/**
+ * serve_running_until_us() - returns until when attempts may run at the upstream
+ *
+ * Return: the latest deadline of the attempts that run, in microseconds of the
+ * monotonic clock; 0 if none runs.
+ */
+int64_t serve_running_until_us(const struct server *server);
+
+/**
+ * serve_idle() - returns true if no attempt and no answer is pending
+ *
+ * An answer that may not have reached the caller's node is pending until its
+ * deadline: only this process can tell the caller's node that the request ran.
+ */
 bool serve_idle(const struct server *server);
 
 /** serve_dump() - returns the state as JSON, owned by the caller. */
--- a/test/fleet/cluster.h
+++ b/test/fleet/cluster.h
@@ -38,7 +38,11 @@
  * @upstream_args: further arguments of each upstream stand-in, ended by NULL
  * @target_platform: nodes, upstreams and the stand-in of the service use the
  *	interface of the target platform
+ * @accounts: each upstream writes its arrivals and runs to a file, see
+ *	cluster_account_path()
  * @no_seeds: nodes start without addresses of other nodes
+ * @seeds_in_pairs: a node starts with the address of the other node of its pair
+ *	alone: nodes 0 and 1, 2 and 3 and so on
  * @no_platform: starts no stand-in of the platform's service
  * @no_upstreams: starts no upstreams; nodes have a service nevertheless
  * @node_program: full path of the program of the nodes; NULL selects the one of
@@ -53,7 +57,9 @@
 	const char *settings;
 	const char *upstream_args[PROCESS_ARGS_MAX / 2];
 	bool target_platform;
+	bool accounts;
 	bool no_seeds;
+	bool seeds_in_pairs;
 	bool no_platform;
 	bool no_upstreams;
 	const char *node_program;
@@ -142,9 +148,20 @@
 /** cluster_wait_node() - wait until the spawned node @i is ready. */
 bool cluster_wait_node(struct cluster *cluster, uint32_t i);
 
+/** cluster_account_path() - file of the account of the upstream of node @i. */
+void cluster_account_path(const struct cluster *cluster, uint32_t i, char *path,
+			  size_t size);
+
+/** cluster_log_path() - file of the log of node @i. */
+void cluster_log_path(const struct cluster *cluster, uint32_t i, char *path,
+		      size_t size);
+
 /** cluster_start_upstream() - start the upstream of node @i, also again. */
 bool cluster_start_upstream(struct cluster *cluster, uint32_t i);
 
+/** cluster_print_logs() - print the end of the log of each node. */
+void cluster_print_logs(const struct cluster *cluster);
+
 /** cluster_wait_members() - wait until each live node has @count members. */
 bool cluster_wait_members(struct cluster *cluster, uint32_t count,
 			  int64_t timeout_ms);
--- a/test/fleet/load.h
+++ b/test/fleet/load.h
@@ -95,6 +95,13 @@
  *	after another on a connection until the target closes it
  * @keepalive_gap_ms: their average pause between an answer and the next request
  * @keepalive_timeout_ms: time after which such a caller closes the connection
+ * @piece_bytes: such a caller sends a request in pieces of this size; 0 sends
+ *it at once
+ * @piece_gap_us: time between two pieces
+ * @give_up_share: share of the requests of such callers that are given up at a
+ *	random time, at most @give_up_max_ms after they were sent
+ * @receive_bytes: size of the receive buffer of such a caller; 0 for the usual
+ *	size
  */
 struct load_options {
 	const char *targets[LOAD_TARGETS_MAX];
@@ -114,6 +121,11 @@
 	uint32_t keepalive_per_target;
 	int64_t keepalive_gap_ms;
 	int64_t keepalive_timeout_ms;
+	size_t piece_bytes;
+	int64_t piece_gap_us;
+	double give_up_share;
+	int64_t give_up_max_ms;
+	int receive_bytes;
 };
 
 /** enum load_outcome - outcome of a request, as its caller sees it. */
@@ -137,9 +149,11 @@
  * @status: status of the answer, if there was one
  * @mismatched: the answer belongs to another request
  * @timed_out: the caller closed the connection after its timeout
+ * @gave_up: the caller closed the connection before its timeout
  * @request_read: aborted on a keep-alive connection after the target's process
  *	had read the request or started the answer; for other aborted requests
  *	it is unknown whether they were read
+ * @stamped: the answer bears the mark of an upstream
  * @reason: value of Geraniumplank-Reason; empty if absent
  * @due_us: time of sending by the schedule, monotonic clock
  * @sent_us: time at which it was sent, monotonic clock
@@ -153,7 +167,9 @@
 	unsigned int status;
 	bool mismatched;
 	bool timed_out;
+	bool gave_up;
 	bool request_read;
+	bool stamped;
 	char reason[LOAD_REASON_SIZE];
 	int64_t due_us;
 	int64_t sent_us;
