--- a/src/http/conn_log_test.c
+++ b/src/http/conn_log_test.c
@@ -126,19 +126,19 @@
 static const struct {
 	const char *name;
 	const char *path;
-	enum ending ending;
 	const char *end; /* NULL: no line */
+	enum ending ending;
 	bool begun;
 } cases[] = {
-	{ "answer written in part, caller closes", "/large", CALLER_CLOSES,
-	  "reset", true },
-	{ "answer written in part, process ends", "/large", SERVER_STOPS,
-	  "stopped", true },
-	{ "no answer yet, process ends", "/later", SERVER_STOPS, "stopped",
+	{ "answer written in part, caller closes", "/large", "reset",
+	  CALLER_CLOSES, true },
+	{ "answer written in part, process ends", "/large", "stopped",
+	  SERVER_STOPS, true },
+	{ "no answer yet, process ends", "/later", "stopped", SERVER_STOPS,
 	  false },
-	{ "no answer yet, caller closes", "/later", CALLER_CLOSES, NULL,
+	{ "no answer yet, caller closes", "/later", NULL, CALLER_CLOSES,
 	  false },
-	{ "answer written whole, process ends", "/small", SERVER_STOPS, NULL,
+	{ "answer written whole, process ends", "/small", NULL, SERVER_STOPS,
 	  false },
 };
 
