call, wire: a drain waits for answers that were not delivered, and for no others

Now the connection decides. If its peer has ended it in order, with nothing queued here or unacknowledged by its kernel, all was delivered: a peer with unread bytes resets the connection instead. Otherwise each answer sent since its last bytes is undelivered, and so is each that was being sent. The end of an answer counts as its sending, not the head.

--- a/src/call/answer_stream.c
+++ b/src/call/answer_stream.c
@@ -115,12 +115,17 @@
 			return true;
 		}
 		if (!send_part(server, peer, answer_stream->id, stored,
-			       answer_stream->offset))
+			       answer_stream->offset)) {
+			recent_undelivered(&server->recent, entry);
 			return true;
+		}
 		answer_stream->offset +=
 			part_size(stored, answer_stream->offset);
-		if (answer_stream->offset == stored->body_bytes)
+		if (answer_stream->offset == stored->body_bytes) {
+			recent_sent(&server->recent, entry,
+				    loop_now_us(server->options.loop));
 			return true;
+		}
 	}
 	return false;
 }
@@ -164,17 +169,27 @@
 		send_answer_lost(server, peer, entry->id);
 		return;
 	}
+	if (!send_head(server, peer, entry->id, stored)) {
+		recent_undelivered(&server->recent, entry);
+		return;
+	}
 	recent_sent(&server->recent, entry, loop_now_us(server->options.loop));
-	if (send_head(server, peer, entry->id, stored) &&
-	    stored->body_bytes > CALL_PART_BYTES)
+	if (stored->body_bytes > CALL_PART_BYTES)
 		answer_stream_begin(server, peer, entry->id, CALL_PART_BYTES);
 }
 
-void answer_stream_drop_all(struct serve_peer *peer)
+void answer_stream_drop_all(struct server *server, struct serve_peer *peer)
 {
 	struct answer_stream *answer_stream;
 	struct answer_stream *next;
 
-	DL_FOREACH_SAFE(peer->answer_streams, answer_stream, next)
+	DL_FOREACH_SAFE(peer->answer_streams, answer_stream, next) {
+		struct recent_entry *entry;
+
+		recent_lookup(&server->recent, answer_stream->id,
+			      RECENT_QUERIED, &entry);
+		if (entry)
+			recent_undelivered(&server->recent, entry);
 		answer_stream_free(peer, answer_stream);
+	}
 }
--- a/src/call/inbound.h
+++ b/src/call/inbound.h
@@ -239,7 +239,8 @@
 /** answer_stream_push() - sends more parts while the link has free space. */
 void answer_stream_push(struct server *server, struct serve_peer *peer);
 
-/** answer_stream_drop_all() - frees all streams of a peer. */
-void answer_stream_drop_all(struct serve_peer *peer);
+/** answer_stream_drop_all() - frees all streams of a peer; their answers are
+ * not delivered. */
+void answer_stream_drop_all(struct server *server, struct serve_peer *peer);
 
 #endif
--- a/src/call/leaving_test.c
+++ b/src/call/leaving_test.c
@@ -191,3 +191,73 @@
 		path_teardown();
 	}
 }
+
+/* Guards against an answer of which only a part was delivered before the
+ * process ended. */
+Test(leaving_node, a_long_answer_cut_on_its_way_is_kept_for_a_query,
+     .init = path_setup, .fini = path_teardown)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	struct path_result *result;
+	int64_t until_us;
+
+	path.a.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.a.calls.caller.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	path_stall(true, true);
+	path_release("one");
+	while (path.b.calls.server.inbound_count) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	until_us = clock_monotonic_us() + 400 * US_PER_MS;
+	while (clock_monotonic_us() < until_us) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	/* The link is lost with the answer in it, 400 ms after it was sent. */
+	cr_assert_not_null(path.b.calls.server.peers);
+	wire_conn_close(path.b.calls.server.peers->link.conn, ERROR_TIMEOUT,
+			"connection has fallen silent");
+	path_run_turns(1);
+	cr_assert_null(path.b.calls.server.peers);
+	calls_drain(&path.b.calls, 10000);
+	path_run_turns(10);
+	cr_expect_eq(path.b.drained, 0, "drained before the query");
+	(void)result;
+}
+
+/* Guards against a stop that waits for an answer that was delivered. */
+Test(leaving_node, a_drain_does_not_wait_for_a_delivered_answer,
+     .init = path_setup, .fini = path_teardown)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "5000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	struct path_result *result = path_send(&request);
+	int64_t from_us;
+
+	path_wait(&result->answers, 1, "an answer");
+	cr_assert_eq(result->status, 200);
+	wire_conn_close(path.a.calls.caller.peers->link.conn, ERROR_IO,
+			"the process ends");
+	while (path.b.calls.server.peers)
+		path_run_turns(1);
+	from_us = clock_monotonic_us();
+	calls_drain(&path.b.calls, 10000);
+	path_wait(&path.b.drained, 1, "drained");
+	cr_expect_lt(clock_monotonic_us() - from_us, 1000 * US_PER_MS,
+		     "took %lld ms",
+		     (long long)(clock_monotonic_us() - from_us) / 1000);
+}
--- a/src/call/recent.c
+++ b/src/call/recent.c
@@ -277,16 +277,12 @@
 			    const struct recent_caller *caller,
 			    int64_t since_us)
 {
-	struct recent_entry *entry = recent->ended ? recent->ended->prev : NULL;
+	struct recent_entry *entry;
 
-	/* Attempts end about in the order in which their answers are sent. */
-	while (entry && (!entry->sent_us || entry->sent_us >= since_us)) {
-		if (entry->caller == caller && entry->sent_us)
+	DL_FOREACH(recent->ended, entry)
+		if (entry->caller == caller && entry->sent_us &&
+		    entry->sent_us >= since_us)
 			recent_undelivered(recent, entry);
-		if (entry == recent->ended)
-			break;
-		entry = entry->prev;
-	}
 }
 
 bool recent_is_awaited(const struct recent *recent, int64_t now_us)
--- a/src/call/recent_test.c
+++ b/src/call/recent_test.c
@@ -226,3 +226,30 @@
 	cr_expect_not(recent_is_awaited(&recent, 0));
 	recent_finish(&recent);
 }
+
+/* Guards against an answer that was sent again, lost, and not waited for. */
+Test(recent, an_answer_sent_again_is_found_when_its_connection_is_lost)
+{
+	enum { DEADLINE_US = 10000, SINCE_US = 4900 };
+	struct recent_caller *caller;
+	struct recent_entry *entry;
+	struct recent recent;
+
+	recent_init(&recent, &limits);
+	caller = recent_caller_acquire(&recent, CALLER);
+	run_and_end(&recent, CALLER, 1, 10);
+	recent_lookup(&recent, id_of(CALLER, 1), RECENT_QUERIED, &entry);
+	entry->deadline_us = DEADLINE_US;
+	recent_undelivered(&recent, entry);
+	run_and_end(&recent, CALLER, 2, 10);
+	recent_lookup(&recent, id_of(CALLER, 2), RECENT_QUERIED, &entry);
+	entry->deadline_us = DEADLINE_US;
+	recent_sent(&recent, entry, 1000);
+	recent_lookup(&recent, id_of(CALLER, 1), RECENT_QUERIED, &entry);
+	/* The query came; the connection that carries the answer is lost. */
+	recent_sent(&recent, entry, 5000);
+	recent_connection_lost(&recent, caller, SINCE_US);
+	cr_expect(recent_is_awaited(&recent, 5100));
+	recent_caller_release(&recent, caller);
+	recent_finish(&recent);
+}
--- a/src/call/serve.c
+++ b/src/call/serve.c
@@ -16,12 +16,6 @@
 	COLD_START_MS = 3000,
 };
 
-enum {
-	/* An answer that was sent so long before its connection was lost has
-	 * reached the caller's node. */
-	DELIVERY_MAX_US = 250 * US_PER_MS,
-};
-
 COUNTER(received, "call.served", "Calls that came in for the own upstream");
 COUNTER(queries, "call.asked_about",
 	"Calls asked about after their connection was lost");
@@ -248,9 +242,12 @@
 static void peer_closed(struct server *server, struct serve_peer *peer)
 {
 	peer_connection_lost(peer);
-	answer_stream_drop_all(peer);
-	recent_connection_lost(&server->recent, peer->caller,
-			       now(server) - DELIVERY_MAX_US);
+	answer_stream_drop_all(server, peer);
+	/* Whether the node has received what was sent after its last bytes is
+	 * not known, unless it has ended the connection in order. */
+	if (!peer->link.conn->ended_in_order)
+		recent_connection_lost(&server->recent, peer->caller,
+				       peer->link.conn->received_us);
 	recent_caller_release(&server->recent, peer->caller);
 	DL_DELETE(server->peers, peer);
 	free(peer);
@@ -379,7 +376,7 @@
 		peer->link.conn->component_data[SLOT] = NULL;
 		peer_closed(server, peer);
 	}
-	answer_stream_drop_all(&server->local);
+	answer_stream_drop_all(server, &server->local);
 	link_pipe_finish(&server->to_caller);
 	timer_cancel(server->options.loop, &server->gate_timer);
 	timer_cancel(server->options.loop, &server->tick);
--- a/src/wire/conn.c
+++ b/src/wire/conn.c
@@ -406,6 +406,10 @@
 		if (result == NET_AGAIN)
 			return;
 		if (result == NET_CLOSED) {
+			/* A peer that leaves bytes unread resets the
+			 * connection instead. */
+			conn->ended_in_order = !wire_conn_queued_bytes(conn) &&
+					       !net_undelivered_bytes(conn->fd);
 			end_input(conn, "closed by the peer");
 			return;
 		}
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -71,6 +71,8 @@
  * @component_data: pointer for use by the component of each range, indexed by
  *	range / 16; NULL at first
  * @err: reason of the close; ERROR_NONE for a normal close
+ * @ended_in_order: the peer ended the connection after it had received all that
+ *	was sent
  */
 struct wire_conn {
 	struct wire_hub *hub;
@@ -90,6 +92,7 @@
 	int64_t opened_us;
 	void *component_data[FRAME_TYPES / 16];
 	struct error err;
+	bool ended_in_order;
 
 	int fd;
 	struct watch watch;
--- a/test/functional/drain_test.c
+++ b/test/functional/drain_test.c
@@ -392,3 +392,23 @@
 			cr_assert(cluster_start_node(&cluster, i));
 	}
 }
+
+/* Guards against a stop that waits for the query of a node that has the answer
+ * and has ended. */
+Test(drain, nodes_that_stop_in_turn_end_soon, .init = start, .fini = stop,
+     .timeout = 120)
+{
+	int64_t from_us;
+	struct fetch fetch;
+
+	cr_assert_eq(call_once(&cluster, 0, "beta", &fetch), 200);
+	fetch_finish(&fetch);
+	from_us = clock_monotonic_us();
+	process_signal(&cluster.nodes[0].process, SIGTERM);
+	cr_assert(process_wait(&cluster.nodes[0].process, WAIT_MS));
+	process_signal(&cluster.nodes[1].process, SIGTERM);
+	cr_assert(process_wait(&cluster.nodes[1].process, WAIT_MS));
+	cr_expect_lt(clock_monotonic_us() - from_us, 2500 * US_PER_MS,
+		     "%lld ms",
+		     (long long)(clock_monotonic_us() - from_us) / 1000);
+}
