call: refused queries count apart, a gone node replaces no paused one

Three faults of the queries, found by the review; each test failed before.

- One connection that a node ended after four that had timed out gave 502 peer-lost with 19.2 of 20 s left: both were counted together.
Now only queries that the node refused or ended count (link/one_reset_after_a_pause_ ends_no_request).

--- a/src/call/call_attempts.c
+++ b/src/call/call_attempts.c
@@ -42,6 +42,7 @@
 	call_attempts->may_have_left = false;
 	call_attempts->incarnation = 0;
 	call_attempts->query_count = 0;
+	call_attempts->refused_count = 0;
 	call_attempts->resumed = false;
 	call_attempts->attempt_count++;
 	call_attempts->taken = retry_chain_take(&call_attempts->chain);
@@ -143,6 +144,7 @@
 	call_attempts->may_have_left = true;
 	call_attempts->incarnation = call_attempts->unreachable_incarnation;
 	call_attempts->query_count = 1;
+	call_attempts->refused_count = 0;
 	return resume;
 }
 
@@ -237,7 +239,10 @@
 		call_attempts->incarnation = incarnation;
 		return action;
 	}
-	if (call_attempts->state != ATTEMPT_QUERYING)
+	/* A late result of an earlier query may have come while the connection
+	 * was being opened. */
+	if (call_attempts->state != ATTEMPT_QUERYING &&
+	    call_attempts->state != ATTEMPT_SENT)
 		return nothing;
 	/* A restarted process has no record of the attempts of its previous
 	 * incarnation: whether the request ran cannot be known. */
@@ -255,7 +260,7 @@
 	       retry_budget_is_open(call_attempts->budget);
 }
 
-/* Returns how many connections may be opened to query the current attempt. An
+/* Returns how many queries of the current attempt the node may refuse. An
  * idempotent request with an attempt and a token left is retried at another
  * endpoint soon. For any other request only the queried node can tell whether
  * the request ran. */
@@ -270,12 +275,11 @@
 /* Returns true if the current attempt is queried once more. A node that does
  * not answer may be paused while its upstream runs the request: without another
  * attempt, the answer can only come from that node, until the deadline. */
-static bool queries_again(const struct call_attempts *call_attempts,
-			  bool timed_out)
+static bool queries_again(struct call_attempts *call_attempts, bool timed_out)
 {
-	if (call_attempts->query_count < queries_max(call_attempts))
-		return true;
-	return timed_out && !may_try_elsewhere(call_attempts);
+	if (timed_out)
+		return !may_try_elsewhere(call_attempts);
+	return ++call_attempts->refused_count < queries_max(call_attempts);
 }
 
 static struct attempt_action unreachable(struct call_attempts *call_attempts,
@@ -293,7 +297,10 @@
 	case ATTEMPT_QUERYING:
 		if (queries_again(call_attempts, timed_out))
 			return reconnect(call_attempts);
-		if (call_attempts->repeatable && !call_attempts->resumed) {
+		/* A node that is gone does not replace one that may be
+		 * paused. */
+		if (call_attempts->repeatable && !call_attempts->resumed &&
+		    (timed_out || !call_attempts->unreachable)) {
 			call_attempts->unreachable = true;
 			call_attempts->unreachable_incarnation =
 				call_attempts->incarnation;
@@ -316,6 +323,7 @@
 		if (call_attempts->state == ATTEMPT_QUERYING) {
 			call_attempts->state = ATTEMPT_SENT;
 			call_attempts->query_count = 0;
+			call_attempts->refused_count = 0;
 		}
 		return nothing;
 	case CALL_QUERY_FORGOTTEN:
--- a/src/call/call_attempts.h
+++ b/src/call/call_attempts.h
@@ -116,7 +116,8 @@
  * @may_have_left: a byte of the current attempt may have left this node
  * @incarnation: incarnation of the node that got the current attempt
  * @query_count: connections opened to query the current attempt, at most
- *	QUERIES_MAX
+ *	QUERIES_MAX; sets the delay before the next one
+ * @refused_count: those of them that the node refused or ended
  * @unreachable: an earlier attempt may still run, but its node could not be
  *	queried
  * @unreachable_incarnation: incarnation of that node
@@ -138,6 +139,7 @@
 	bool may_have_left;
 	uint64_t incarnation;
 	uint32_t query_count;
+	uint32_t refused_count;
 	bool unreachable;
 	uint64_t unreachable_incarnation;
 	bool resumed;
--- a/src/call/paused_node_test.c
+++ b/src/call/paused_node_test.c
@@ -210,3 +210,75 @@
 	path_wait(&path.b.drained, 1, "drained");
 	path_teardown();
 }
+
+/* Guards against 502 for a request that runs, because the endpoint of its
+ * paused node has left the routes. */
+Test(link, a_repeatable_request_waits_for_a_node_out_of_the_routes)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "GET",
+					      .path = "/view",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	int64_t paused_until_us;
+	struct path_result *result;
+
+	path_setup();
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	router_drop_record(&path.a.router, "b");
+	paused_until_us = clock_monotonic_us() + PAUSE_MS * US_PER_MS;
+	while (!result->answers && clock_monotonic_us() < paused_until_us) {
+		path_stall(true, true);
+		path_run_turns(1);
+	}
+	cr_expect_eq(result->answers, 0, "%u %s", result->status,
+		     result->reason);
+	path_stall(false, false);
+	path_release("one");
+	path_wait(&result->answers, 1, "an answer");
+	cr_expect_eq(result->status, 200, "%u %s", result->status,
+		     result->reason);
+	path_teardown();
+}
+
+/* Guards against 502 for a request that runs, because its node ended one
+ * connection after several that timed out. */
+Test(link, one_reset_after_a_pause_ends_no_request)
+{
+	const struct http_header headers[] = { { HEADER_DEADLINE, "20000" } };
+	const struct path_request request = { .method = "POST",
+					      .path = "/seal",
+					      .id = "one",
+					      .headers = headers,
+					      .header_count = 1 };
+	int64_t paused_until_us;
+	struct path_result *result;
+	struct call *call;
+	bool closed = false;
+
+	path_setup();
+	path.b.calls.server.options.silence_us = 60 * 1000 * US_PER_MS;
+	path.upstream.first = path.upstream.then = BEHAVE_HOLD;
+	result = path_send(&request);
+	path_wait(&path.upstream.ran, 1, "it runs");
+	call = path.a.calls.caller.calls;
+	paused_until_us = clock_monotonic_us() + PAUSE_MS * US_PER_MS;
+	while (!result->answers && clock_monotonic_us() < paused_until_us) {
+		path_stall(true, true);
+		path_run_turns(1);
+		if (!closed && !result->answers &&
+		    call->call_attempts.query_count >= 4 && call->peer) {
+			wire_conn_close(call->peer->link.conn, ERROR_IO,
+					"connection reset");
+			closed = true;
+		}
+	}
+	cr_expect(closed);
+	cr_expect_eq(result->answers, 0, "%u %s", result->status,
+		     result->reason);
+	path_teardown();
+}
