call: a resumed attempt keeps its endpoint

Now the call has a reference to it. router_pick_instance() becomes endpoint_pick_again(); balance_test.c finds the endpoint and picks it, its checks are unchanged.

--- a/src/call/outbound_call.c
+++ b/src/call/outbound_call.c
@@ -59,12 +59,26 @@
 		*at = call->bucket_next;
 }
 
+/* The reference keeps an endpoint that leaves the routes meanwhile. */
+static void set_unreachable(struct call *call, struct endpoint *endpoint)
+{
+	struct router *router = call->caller->options.router;
+
+	if (endpoint)
+		endpoint_ref(endpoint);
+	if (call->unreachable.endpoint)
+		endpoint_unref(router, call->unreachable.endpoint);
+	call->unreachable.endpoint = endpoint;
+	call->unreachable.sequence = call->sequence;
+}
+
 void call_free(struct call *call)
 {
 	struct caller *caller = call->caller;
 
 	remove_from_table(call);
 	outbound_detach(call);
+	set_unreachable(call, NULL);
 	quota_check_finish(call);
 	timer_cancel(caller->options.loop, &call->deadline);
 	timer_cancel(caller->options.loop, &call->reconnect);
@@ -136,7 +150,7 @@
 					call->call_attempts.attempt_count,
 					now_us);
 	if (!call->endpoint || !call->call_attempts.unreachable ||
-	    strcmp(call->endpoint->record.instance, call->unreachable.instance))
+	    call->endpoint != call->unreachable.endpoint)
 		return;
 	endpoint_done(router, call->endpoint, ENDPOINT_CANCELLED, -1, 0,
 		      now_us);
@@ -332,12 +346,8 @@
 {
 	const char *name = call_reason_name(reason);
 
-	if (is_unreachable_attempt(call)) {
-		call->unreachable.sequence = call->sequence;
-		memcpy(call->unreachable.instance,
-		       call->endpoint->record.instance,
-		       sizeof(call->unreachable.instance));
-	}
+	if (is_unreachable_attempt(call))
+		set_unreachable(call, call->endpoint);
 	if (reason == CALL_UPSTREAM_ERROR) {
 		apply_report(call);
 		keep_failure(call);
@@ -354,23 +364,21 @@
 static void resume(struct call *call, const struct attempt_action *action)
 {
 	enum call_reason reason = action->reason;
-	struct endpoint *endpoint;
 
 	if (action->is_current && call->endpoint) {
 		counter_add(&resumed, 1);
 		reconnect(call, 0);
 		return;
 	}
-	endpoint = router_pick_instance(call->caller->options.router,
-					call->unreachable.instance);
 	call_end_attempt(call, ENDPOINT_FAILED, -1,
 			 call->call_attempts.last_verdict,
 			 call_reason_name(reason));
-	call->endpoint = endpoint;
-	if (!endpoint) {
+	call->endpoint = call->unreachable.endpoint;
+	if (!call->endpoint) {
 		call_step_reason(call, ATTEMPT_EVENT_GIVE_UP, reason);
 		return;
 	}
+	endpoint_pick_again(call->endpoint);
 	counter_add(&resumed, 1);
 	begin_attempt_as(call, call->unreachable.sequence);
 	call->body_queued = call->body_size;
--- a/src/call/outbound_call.h
+++ b/src/call/outbound_call.h
@@ -99,7 +99,7 @@
 	char failed_upstream[NAME_SIZE];
 	struct {
 		uint64_t sequence;
-		char instance[NAME_SIZE];
+		struct endpoint *endpoint; /* referenced, or NULL */
 	} unreachable;
 	struct call_outcome refusal;
 	struct quota_wait quota;
--- a/src/route/balance_test.c
+++ b/src/route/balance_test.c
@@ -525,16 +525,19 @@
 		router_init(&router, "here", 1);
 		router_set_config(&router, config);
 		router_set_record(&router, &record, true, 0);
-		endpoint = router_pick_instance(&router, "a");
+		endpoint = router_find(&router, "a");
+		endpoint_pick_again(endpoint);
 		endpoint_set_usable_share(endpoint, 1, now_us);
 		endpoint_done(&router, endpoint, ENDPOINT_ANSWERED, 0,
 			      SERVICE_US, now_us);
-		endpoint = router_pick_instance(&router, "a");
+		endpoint = router_find(&router, "a");
+		endpoint_pick_again(endpoint);
 		endpoint_set_usable_share(endpoint, 0.01, now_us);
 		endpoint_done(&router, endpoint, ENDPOINT_REFUSED, 0, MS,
 			      now_us);
 		now_us += cases[i].quiet_us;
-		endpoint = router_pick_instance(&router, "a");
+		endpoint = router_find(&router, "a");
+		endpoint_pick_again(endpoint);
 		now_us += S;
 		endpoint_set_usable_share(endpoint, cases[i].usable_share,
 					  now_us);
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -555,16 +555,10 @@
 	return endpoint;
 }
 
-struct endpoint *router_pick_instance(struct router *router,
-				      const char *instance)
+void endpoint_pick_again(struct endpoint *endpoint)
 {
-	struct endpoint *endpoint = router_find(router, instance);
-
-	if (!endpoint)
-		return NULL;
 	endpoint_ref(endpoint);
 	endpoint->in_flight++;
-	return endpoint;
 }
 
 void endpoint_done(struct router *router, struct endpoint *endpoint,
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -412,14 +412,12 @@
 struct endpoint *router_pick(struct router *router, const struct pick *pick);
 
 /**
- * router_pick_instance() - chooses the endpoint of a given instance
+ * endpoint_pick_again() - picks an endpoint to which the caller has a reference
  *
- * For a call that returns to the endpoint of an earlier attempt.
- *
- * Return: as router_pick(); NULL if the instance is no longer listed.
+ * For an earlier attempt that goes on, also if the endpoint has left the
+ * routes. To be ended by endpoint_done(), like router_pick().
  */
-struct endpoint *router_pick_instance(struct router *router,
-				      const char *instance);
+void endpoint_pick_again(struct endpoint *endpoint);
 
 /**
  * router_has_healthy() - returns true if a healthy endpoint fits @pick
@@ -458,7 +456,7 @@
 
 /**
  * endpoint_done() - records the end of an attempt and releases the endpoint
- * @endpoint: endpoint from router_pick() or router_pick_instance()
+ * @endpoint: endpoint from router_pick(), or picked by endpoint_pick_again()
  * @result: outcome of the attempt
  * @load: load in calls per slot, as the answer or refusal reported it; negative
  *	if there was no report
