call: a nested call is taken with the deadline of its parent

Now a call from the upstream's address that does not outlast the requests in progress there is taken in any case, in the linger time too.

--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -222,14 +222,36 @@
 	return true;
 }
 
-/* Returns true if the time limit of a call that was taken during the drain
- * shows that no request in progress at the own upstream has made it. */
-static bool outlasts_upstream(const struct call *call)
+/*
+ * Returns true if the request may come from work in progress at an upstream.
+ * Such requests are taken during a drain, because that work could not complete
+ * without them. An interface without the field for hops does not tell them from
+ * requests of clients on the same machine; seems_nested() bounds both.
+ */
+static bool may_be_nested(const struct caller *caller,
+			  const struct http_exchange *exchange)
+{
+	const char *name = caller->options.names->hops;
+	const char *hops = name ? http_exchange_header(exchange, name) : NULL;
+	struct address address;
+
+	if (name)
+		return hops && strtoul(hops, NULL, 10) > 0;
+	http_exchange_caller_address(exchange, &address);
+	return caller->nested_until_us &&
+	       address_equal(&address, &caller->upstream_ip);
+}
+
+/* Returns true if the call seems to be made by a request in progress at the own
+ * upstream: it does not outlast these requests. */
+static bool seems_nested(const struct call *call)
 {
 	const struct caller *caller = call->caller;
 
-	return caller->draining && !call->parsed.context.hops &&
-	       call->parsed.context.deadline_us >
+	if (call->parsed.context.hops)
+		return true;
+	return may_be_nested(caller, call->exchange) &&
+	       call->parsed.context.deadline_us <=
 		       caller->nested_until_us + NESTED_MARGIN_MS * US_PER_MS;
 }
 
@@ -246,9 +268,9 @@
 	const struct kind *kind = call->kind;
 	int64_t left_us = caller->work_until_us - now(caller);
 
-	if (!caller->work_until_us || call->parsed.context.hops)
+	if (!caller->work_until_us || seems_nested(call))
 		return false;
-	if (outlasts_upstream(call))
+	if (caller->draining)
 		return true;
 	if (call->parsed.context.deadline_us <= caller->work_until_us)
 		return false;
@@ -297,26 +319,6 @@
 		call_begin_attempt(call);
 }
 
-/*
- * Returns true if the request may come from work in progress at an upstream.
- * Such requests are taken during a drain, because that work could not complete
- * without them. An interface without the field for hops does not tell them from
- * requests of clients on the same machine; outlasts_upstream() bounds both.
- */
-static bool may_be_nested(const struct caller *caller,
-			  const struct http_exchange *exchange)
-{
-	const char *name = caller->options.names->hops;
-	const char *hops = name ? http_exchange_header(exchange, name) : NULL;
-	struct address address;
-
-	if (name)
-		return hops && strtoul(hops, NULL, 10) > 0;
-	http_exchange_caller_address(exchange, &address);
-	return caller->nested_until_us &&
-	       address_equal(&address, &caller->upstream_ip);
-}
-
 static enum call_reason over_limit(const struct caller *caller,
 				   struct http_exchange *exchange)
 {
--- a/src/call/calls.c
+++ b/src/call/calls.c
@@ -260,7 +260,7 @@
 {
 	struct calls *calls = data;
 
-	if (calls->draining)
+	if (calls->caller.work_until_us)
 		calls->caller.nested_until_us =
 			serve_running_until_us(&calls->server);
 	caller_handle(exchange, &calls->caller);
--- a/test/functional/nested_test.c
+++ b/test/functional/nested_test.c
@@ -66,6 +66,8 @@
 	}
 }
 
+static const char *used_settings = settings;
+
 static void start(void)
 {
 	const struct cluster_options options = {
@@ -73,7 +75,7 @@
 		.nodes = NODES,
 		.services = { "huvo", "kafi" },
 		.profile = "default",
-		.settings = settings,
+		.settings = used_settings,
 		.target_platform = true,
 	};
 
@@ -130,3 +132,32 @@
 	cr_expect_eq(own.fetch.status, 200, "%ld", own.fetch.status);
 	background_finish(&own);
 }
+
+static void start_with_grace_of_six(void)
+{
+	used_settings =
+		"timeout_ms = 1000\n[call]\nlinger_ms = 2300\nkeep_upstream_ms = 2000\ndrain_ms = 2700\n";
+	start();
+}
+
+/* Guards against a refusal of a nested call whose deadline is later than the
+ * end of the drain, as that of the request that made it. */
+Test(nested, an_unsafe_nested_call_with_the_deadline_of_its_parent,
+     .init = start_with_grace_of_six, .fini = stop, .timeout = 120)
+{
+	struct background_call outer;
+	int i;
+
+	background_begin(&outer, &cluster, OTHER, "huvo.example",
+			 "/slow?service_us=4000000", "outer");
+	cr_assert(upstream_wait_stat(&cluster, STOPPING, "running", 1));
+	process_signal(&cluster.nodes[STOPPING].process, SIGTERM);
+	for (i = 0; i < 6; i++) {
+		sleep_ms(500);
+		cr_expect_eq(post_call(STOPPING, "kafi", "X-Deadline-Ms: 6000"),
+			     200, "at %d ms", (i + 1) * 500);
+	}
+	cr_assert(background_wait(&outer));
+	cr_expect_eq(outer.fetch.status, 200, "%ld", outer.fetch.status);
+	background_finish(&outer);
+}
