--- a/src/http/linger_test.c
+++ b/src/http/linger_test.c
@@ -127,3 +127,34 @@
 	cr_expect_eq(server.conn_count, 0);
 	close(fd);
 }
+
+/* Guards against a reset of a client that reads all the time and acknowledges
+ * less than once a second. */
+Test(linger, a_slow_client_with_a_larger_window, .init = setup,
+     .fini = teardown, .timeout = 60)
+{
+	const struct address *address = http_server_address(&server);
+	struct sockaddr_in to = { .sin_family = AF_INET };
+	int size = 64 * 1024;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int64_t until_us = clock_monotonic_us() + 6 * 1000 * 1000;
+	bool reset = false;
+	size_t total = 0;
+
+	memcpy(&to.sin_addr, address->ip, sizeof(to.sin_addr));
+	to.sin_port = htons(address->port);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	cr_assert_eq(connect(fd, (struct sockaddr *)&to, sizeof(to)), 0);
+	send(fd, request, strlen(request), 0);
+	while (clock_monotonic_us() < until_us && !reset) {
+		loop_turn(&loop, READ_INTERVAL_US);
+		if (!read_some(fd, READ_BYTES, &total, &reset))
+			break;
+	}
+	send(fd, request, strlen(request), MSG_NOSIGNAL);
+	while (read_some(fd, READ_BYTES, &total, &reset))
+		loop_turn(&loop, 0);
+	cr_expect_not(reset, "reset after %zu bytes", total);
+	cr_expect_gt(total, ANSWER_BYTES, "%zu bytes", total);
+	close(fd);
+}
