--- a/review/harness-2/mesh.py
+++ b/review/harness-2/mesh.py
@@ -67,6 +67,30 @@
     allow_reuse_address = True
     request_queue_size = 128
 
+    def __init__(self, address, handler):
+        self.connections = set()
+        super().__init__(address, handler)
+
+    def get_request(self):
+        connection, address = super().get_request()
+        self.connections.add(connection)
+        return connection, address
+
+    def shutdown_request(self, request):
+        self.connections.discard(request)
+        super().shutdown_request(request)
+
+    def end(self):
+        """Listens no more and closes all connections, like a process that
+        has ended."""
+        self.shutdown()
+        self.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
     def handle_error(self, request, client_address):
         pass
 
@@ -120,8 +144,14 @@
 
             do_DELETE = do_POST
 
-        self.server = QuietServer(address, Handler)
-        serve(self.server)
+        self.handler = Handler
+        self.server = self.listen(address)
+
+    def listen(self, address):
+        """Serves the same items at one more address."""
+        server = QuietServer(address, self.handler)
+        serve(server)
+        return server
 
     def item(self, key):
         value, revision, created = self.items[key]
@@ -215,7 +245,7 @@
         self.id = name or "i-%08x" % random.getrandbits(32)
         self.seq = 0
         self.draining = False
-        self.runs = []          # (time, request id, path, node address)
+        self.runs = []          # (time, request id, path, calling service)
         self.running = 0
         self.lock = threading.Lock()
         backend = self
@@ -251,15 +281,16 @@
             call.reply(400, b"", [("X-Not-Executed", "1")])
             return
         now = time.monotonic()
+        caller = call.headers.get("X-Caller-Service")
         with self.lock:
             if self.running >= self.slots * 4:
                 call.reply(503, b"", [("X-Not-Executed", "1"),
                                       ("X-Request-Id", request_id)])
                 return
             self.running += 1
-            self.runs.append((now, request_id, call.path, body))
+            self.runs.append((now, request_id, call.path, caller))
         self.record("backend", self.id, self.service, "runs", request_id,
-                    call.command, call.path)
+                    call.command, call.path, "from", caller)
         time.sleep(self.work(call))
         out = self.answer(call) if self.answer else \
             ("%s %s\n" % (self.service, call.path)).encode()
@@ -422,14 +453,19 @@
         fields.update(self.changes)
         return fields
 
-    def start(self):
+    def write_settings(self):
         with open(TEMPLATE, encoding="utf-8") as file:
             text = render(file.read(), [self.fields()])
         # Nodes of one host share 127.0.0.1; the operator's port is theirs.
         text = text.replace('"127.0.0.1:7103"', '"%s:7103"' % self.ip)
         path = os.path.join(self.mesh.folder, self.name + ".toml")
-        with open(path, "w", encoding="utf-8") as file:
+        with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(text)
+        os.replace(path + ".new", path)
+        return path
+
+    def start(self):
+        path = self.write_settings()
         log = open(os.path.join(self.mesh.folder, self.name + ".log"), "ab")
         env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG")
                if k in os.environ}
