--- a/review/harness-2/mesh.py
+++ b/review/harness-2/mesh.py
@@ -423,28 +423,31 @@
         self.zone = zone
         self.service = service
         self.ip = ip
-        self.outbound = (ip, 8304)
-        self.ready_address = (ip, 8302)
-        self.control = (ip, 8306)
-        self.app = (ip, 8301)
+        ports = mesh.ports
+        self.outbound = (ip, ports["outbound"])
+        self.ready_address = (ip, ports["ready"])
+        self.control = (ip, ports["control"])
+        self.app = (ip, ports["app"])
         self.process = None
         self.bootstrap = True
         self.changes = {}
 
     def fields(self):
         ip = self.ip
+        ports = self.mesh.ports
         fields = {
             "node_id": self.name, "role": "node", "machine_class": "sidecar",
             "serves": ["sidecar"], "ip": ip, "zone": self.zone,
             "region": "hcm", "zones": {z: "hcm" for z in self.mesh.zones},
-            "listen": {"inbound": ip + ":8300", "outbound": ip + ":8304",
-                       "ready": ip + ":8302", "control": ip + ":8306"},
-            "port_range": [7620, 7635], "seeds": [],
+            "listen": {name: "%s:%d" % (ip, ports[name])
+                       for name in ("inbound", "outbound", "ready",
+                                    "control")},
+            "port_range": [ports["peer"], ports["peer"]], "seeds": [],
             "bootstrap": self.bootstrap, "loss_counted": False,
             "limits": {"cpu_share": 0.2, "cores": 1, "memory_mb": 260,
                        "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
             "heartbeat_interval_s": 1.5, "bounds": BOUNDS,
-            "app_addr": ip + ":8301", "service": self.service,
+            "app_addr": "%s:%d" % self.app, "service": self.service,
             "provider": {"address": "%s:%d" % self.mesh.store_address,
                          "form": "kv", "writes_per_s": 400,
                          "reads_per_s": 2000, "history_s": 20,
@@ -456,8 +459,11 @@
     def write_settings(self):
         with open(TEMPLATE, encoding="utf-8") as file:
             text = render(file.read(), [self.fields()])
-        # Nodes of one host share 127.0.0.1; the operator's port is theirs.
-        text = text.replace('"127.0.0.1:7103"', '"%s:7103"' % self.ip)
+        # The template's fixed ports, which a process of this host may have.
+        ports = self.mesh.ports
+        text = text.replace('"127.0.0.1:7103"',
+                            '"%s:%d"' % (self.ip, ports["operator"]))
+        text = text.replace(":9464", ":%d" % ports["metrics"])
         path = os.path.join(self.mesh.folder, self.name + ".toml")
         with open(path + ".new", "w", encoding="utf-8") as file:
             file.write(text)
@@ -523,24 +529,31 @@
         self.nodes = []
         self.backends = []
         self.beats = []
-        self.network = self.pick_network()
-        self.store_address = (self.network + ".1", 8309)
+        self.network = "127.%d.%d" % (random.randint(30, 220),
+                                      random.randint(1, 250))
+        self.ports = self.pick_ports()
+        self.store_address = (self.network + ".1", self.ports["store"])
         self.store = Store(self.store_address, self.record)
 
     @staticmethod
-    def pick_network():
-        for _ in range(200):
-            network = "127.%d.%d" % (random.randint(30, 220),
-                                     random.randint(1, 250))
-            probe = socket.socket()
-            try:
-                probe.bind((network + ".1", 8309))
-                return network
-            except OSError:
-                continue
-            finally:
+    def pick_ports():
+        """Returns ports that are free at all addresses; the same ones serve
+        on all machines, as on the platform."""
+        names = ("inbound", "outbound", "ready", "control", "app", "peer",
+                 "operator", "metrics", "store")
+        probes = []
+        try:
+            for _ in names:
+                probe = socket.socket()
+                probes.append(probe)
+                probe.bind(("", 0))
+            return {name: probe.getsockname()[1]
+                    for name, probe in zip(names, probes)}
+        except OSError as failure:
+            raise CannotRun("no free ports: %s" % failure)
+        finally:
+            for probe in probes:
                 probe.close()
-        raise CannotRun("no free loopback address")
 
     def add(self, zone, service, backend=True, **options):
         """Adds a machine: a node with its backend. Returns the node."""
