document: a value past a bound affects its own entry alone

What callers saw: after an acknowledged version with one route of a long prefix, requests for another route that the same version moves went to the old service, and those for the new route got 404, on all nodes and for each later version with that route. A node that started meanwhile had no version.

Cause: each fault of an entry ended the translation of the whole document, and the parser of profiles refused a body for one value past a bound of its schema.

Now a value is adjusted or left out, noted with its name, logged (entry_adjusted, entry_left_out) and counted. What is valid and of use is in force: prefixes up to the path of a request, hosts of 255 bytes, any name of a route, 1,024 services of a route, service names of 159 bytes, more profiles where 17 do not hold the document. A route that could go nowhere rejects its requests instead of giving them to a shorter prefix (host_route.closed, reason route-closed). Ordinary documents have the same bytes as before.

--- a/src/base/json_scan.c
+++ b/src/base/json_scan.c
@@ -184,6 +184,30 @@
 	       !memcmp(span->text + 1, text, span->size - 2);
 }
 
+static bool is_beyond_bounds(const json_error_t *error)
+{
+	switch (json_error_code(error)) {
+	case json_error_numeric_overflow:
+	case json_error_null_character:
+	case json_error_null_byte_in_key:
+	case json_error_stack_overflow:
+		return true;
+	default:
+		return false;
+	}
+}
+
+json_t *json_span_read(const struct json_span *span, bool *is_json)
+{
+	json_error_t error;
+	json_t *value = json_loadb(span->text, span->size,
+				   JSON_DECODE_ANY | JSON_DECODE_INT_AS_REAL,
+				   &error);
+
+	*is_json = value || is_beyond_bounds(&error);
+	return value;
+}
+
 json_t *json_span_parse(const struct json_span *span)
 {
 	return json_loadb(span->text, span->size, JSON_DECODE_ANY, NULL);
--- a/src/base/json_scan.h
+++ b/src/base/json_scan.h
@@ -75,6 +75,16 @@
  */
 json_t *json_span_parse(const struct json_span *span);
 
+/**
+ * json_span_read() - parses a value of any type, and its integers as reals
+ * @is_json: set to false if the text is invalid, and to true if it is valid or
+ *	only beyond the bounds of the parser: a number that is too large, a
+ *	string with a NUL, or too many levels
+ *
+ * Return: NULL if the value cannot be read; to be freed by json_decref().
+ */
+json_t *json_span_read(const struct json_span *span, bool *is_json);
+
 /**
  * json_skip_string() - returns the end of the string that begins at the quote
  *	@at, or NULL if the string does not end before @end
--- a/src/call/call_defs.c
+++ b/src/call/call_defs.c
@@ -61,6 +61,8 @@
 	[CALL_QUOTA] = { "quota", 429, "the tenant is over its limit" },
 	[CALL_HOLDS_OTHERS] = { "holds-others", 504,
 				"answers behind it on its connection waited" },
+	[CALL_ROUTE_CLOSED] = { "route-closed", 503,
+				"the route names no usable service" },
 };
 
 const char *call_reason_name(enum call_reason reason)
--- a/src/call/call_defs.h
+++ b/src/call/call_defs.h
@@ -96,6 +96,7 @@
 	CALL_UNAUTHORIZED,    /* no key, or one that no tenant has */
 	CALL_QUOTA,	      /* the tenant is over its limit */
 	CALL_HOLDS_OTHERS,    /* answers behind it on its connection wait */
+	CALL_ROUTE_CLOSED,    /* the route rejects all requests */
 	CALL_REASONS,
 };
 
--- a/src/call/caller.c
+++ b/src/call/caller.c
@@ -98,6 +98,8 @@
 	case ROUTE_NO_KIND:
 	case ROUTE_NO_HOST:
 		return CALL_NO_ROUTE;
+	case ROUTE_CLOSED:
+		return CALL_ROUTE_CLOSED;
 	}
 	return CALL_REASON_NONE;
 }
@@ -371,6 +373,7 @@
 	case ROUTE_NO_PROFILE:
 	case ROUTE_NO_KIND:
 	case ROUTE_NO_HOST:
+	case ROUTE_CLOSED:
 		break;
 	}
 	return false;
--- a/src/profile/profile.c
+++ b/src/profile/profile.c
@@ -10,6 +10,15 @@
 	return profile;
 }
 
+static void free_upstreams(struct profile *profile)
+{
+	uint32_t i;
+
+	for (i = 0; i < profile->upstream_count; i++)
+		free(profile->upstreams[i].health_check);
+	free(profile->upstreams);
+}
+
 static void free_tenants(struct profile *profile)
 {
 	uint32_t i;
@@ -32,7 +41,9 @@
 	free(profile->routes);
 	free(profile->host_rules);
 	free(profile->host_routes);
-	free(profile->upstreams);
+	free(profile->host_parts);
+	free(profile->host_strings);
+	free_upstreams(profile);
 	free_tenants(profile);
 	free(profile);
 }
--- a/src/profile/profile.h
+++ b/src/profile/profile.h
@@ -22,22 +22,35 @@
 
 enum {
 	PROFILE_NAME_SIZE = 64,
-	SERVICE_NAME_SIZE = 64,
+	SERVICE_NAME_SIZE = 160,
 	KIND_NAME_SIZE = 32,
 	ROUTE_PATH_SIZE = 160,
 	METHOD_SIZE = 16,
-	HOST_SIZE = 128,
+	/* The name of a host has at most 253 bytes (RFC 1035). */
+	HOST_SIZE = 256,
 	HOST_ROUTE_NAME_SIZE = 64,
-	HOST_ROUTE_PARTS_MAX = 16,
-	HEALTH_CHECK_SIZE = 128,
-	PROFILE_KINDS_MAX = 256,
+	/* The target of a call is not longer. */
+	HOST_PREFIX_MAX_BYTES = 8 * 1024 - 1,
+	HOST_ROUTE_PARTS_MAX = 1024,
+	HEALTH_CHECK_MAX_BYTES = 8 * 1024 - 1,
+	/* A text of PROFILE_TEXT_MAX bytes has room for fewer kinds, host
+	 * routes and upstreams than these. */
+	PROFILE_KINDS_MAX = 1024,
+	PROFILE_HOST_ROUTES_MAX = 8192,
+	PROFILE_UPSTREAMS_MAX = 4096,
 	PROFILE_ROUTES_MAX = 256,
-	PROFILE_HOST_ROUTES_MAX = 1024,
 	PROFILE_SERVICES_MAX = 64,
-	PROFILE_UPSTREAMS_MAX = 1024,
 	PROFILE_TENANTS_MAX = 2048,
 	KIND_PRIORITY_MAX = 9,
+	KIND_ATTEMPTS_MAX = 10,
+	KIND_TIME_MAX_MS = 10 * 60 * 1000,
 	PART_WEIGHT_MAX = 1000000,
+	LIMIT_HEADER_MIN_BYTES = 256,
+	LIMIT_HEADER_MAX_BYTES = 1024 * 1024,
+	LIMIT_BODY_MAX_BYTES = 1024 * 1024 * 1024,
+	LIMIT_HEADER_TIMEOUT_MAX_MS = 10 * 60 * 1000,
+	LIMIT_IDLE_TIMEOUT_MAX_MS = 60 * 60 * 1000,
+	UPSTREAM_CONNECTIONS_MAX = 1000000,
 	/* Also the maximum weight that a call may pass on to nested calls. */
 	KIND_WEIGHT_MAX = 1000,
 	PROFILE_TEXT_MAX = 64 * 1024,
@@ -101,16 +114,18 @@
  * struct host_rule - the common settings of the host routes of one table
  * @host: host name, compared with the Host field ignoring case and port
  * @kind: index into profile.kinds
+ * @is_public: true if requests need no key, also where there are tenants
+ * @closed: true if requests are rejected: @parts may be empty
  * @parts: services among which the requests are divided by weight
  * @part_count: number of entries in @parts
  * @weight_sum: sum of the weights of all parts
- * @is_public: true if requests need no key, also where there are tenants
  */
 struct host_rule {
-	char host[HOST_SIZE];
+	const char *host;
 	uint32_t kind;
 	bool is_public;
-	struct route_part parts[HOST_ROUTE_PARTS_MAX];
+	bool closed;
+	struct route_part *parts;
 	uint32_t part_count;
 	double weight_sum;
 };
@@ -123,8 +138,8 @@
  * @rule: index into profile.host_rules, which holds the host and the services
  */
 struct host_route {
-	char name[HOST_ROUTE_NAME_SIZE];
-	char prefix[ROUTE_PATH_SIZE];
+	const char *name;
+	const char *prefix;
 	uint32_t rule;
 };
 
@@ -155,7 +170,7 @@
 struct upstream_limits {
 	char service[SERVICE_NAME_SIZE];
 	int64_t connections_max;
-	char health_check[HEALTH_CHECK_SIZE];
+	char *health_check;
 };
 
 /**
@@ -168,6 +183,8 @@
  * @routes: array of @route_count entries
  * @host_rules: array of @host_rule_count entries
  * @host_routes: array of @host_route_count entries
+ * @host_parts: the parts of all host rules
+ * @host_strings: the strings of the host rules and host routes
  * @limits: limits for callers
  * @upstreams: array of @upstream_count entries
  * @checks_keys: true if the text has a table of tenants, which may be empty:
@@ -195,6 +212,8 @@
 	uint32_t route_count;
 	struct host_rule *host_rules;
 	struct host_route *host_routes;
+	struct route_part *host_parts;
+	char *host_strings;
 	uint32_t host_rule_count;
 	uint32_t host_route_count;
 	struct caller_limits limits;
--- a/src/profile/profile_parse.c
+++ b/src/profile/profile_parse.c
@@ -5,6 +5,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Limits of upstreams as read from the text. */
+struct upstream_text {
+	char service[SERVICE_NAME_SIZE];
+	int64_t connections_max;
+	char health_check[HEALTH_CHECK_MAX_BYTES + 1];
+};
+
 /* A route as read from the text, with the name of the kind. */
 struct route_text {
 	char method[METHOD_SIZE];
@@ -73,23 +80,24 @@
 			     KIND_PRIORITY_MAX, "0",
 			     "Rank among kinds of the same weight, 0 the "
 			     "highest"),
-	SCHEMA_FIELD_INTEGER(struct kind, timeout_ms, "timeout_ms", 0, 600000,
-			     "0",
+	SCHEMA_FIELD_INTEGER(struct kind, timeout_ms, "timeout_ms", 0,
+			     KIND_TIME_MAX_MS, "0",
 			     "Milliseconds that a caller waits at most, "
 			     "whatever deadline it names; 0 for no such bound"),
-	SCHEMA_FIELD_INTEGER(struct kind, target_ms, "target_ms", 0, 600000,
-			     "0",
+	SCHEMA_FIELD_INTEGER(struct kind, target_ms, "target_ms", 0,
+			     KIND_TIME_MAX_MS, "0",
 			     "Milliseconds within which an answer is worth the "
 			     "most; 0 if all are alike"),
-	SCHEMA_FIELD_INTEGER(struct kind, deadline_ms, "deadline_ms", 1, 600000,
-			     "2000",
+	SCHEMA_FIELD_INTEGER(struct kind, deadline_ms, "deadline_ms", 1,
+			     KIND_TIME_MAX_MS, "2000",
 			     "Milliseconds for an answer, if the caller names "
 			     "no deadline"),
 	SCHEMA_FIELD_BOOLEAN(struct kind, repeatable, "repeatable", "false",
 			     "Whether a try that may have run may be sent "
 			     "again"),
-	SCHEMA_FIELD_INTEGER(struct kind, attempts_max, "attempts_max", 1, 10,
-			     "3", "Tries of one request, the first included"),
+	SCHEMA_FIELD_INTEGER(struct kind, attempts_max, "attempts_max", 1,
+			     KIND_ATTEMPTS_MAX, "3",
+			     "Tries of one request, the first included"),
 	SCHEMA_FIELD_INTEGER(struct kind, queue_max, "queue_max", 0, 100000,
 			     "100", "Requests that wait at one gate"),
 };
@@ -107,28 +115,29 @@
 
 static const struct schema_field limit_fields[] = {
 	SCHEMA_FIELD_INTEGER(struct caller_limits, header_bytes, "header_bytes",
-			     256, 1048576, "16384",
-			     "Bytes of a request's head"),
+			     LIMIT_HEADER_MIN_BYTES, LIMIT_HEADER_MAX_BYTES,
+			     "16384", "Bytes of a request's head"),
 	SCHEMA_FIELD_INTEGER(struct caller_limits, body_bytes, "body_bytes", 0,
-			     1073741824, "1048576",
+			     LIMIT_BODY_MAX_BYTES, "1048576",
 			     "Bytes of a request's body"),
 	SCHEMA_FIELD_INTEGER(struct caller_limits, header_timeout_ms,
-			     "header_timeout_ms", 1, 600000, "10000",
+			     "header_timeout_ms", 1,
+			     LIMIT_HEADER_TIMEOUT_MAX_MS, "10000",
 			     "Milliseconds that a request's head may take"),
 	SCHEMA_FIELD_INTEGER(struct caller_limits, idle_timeout_ms,
-			     "idle_timeout_ms", 1, 3600000, "75000",
+			     "idle_timeout_ms", 1, LIMIT_IDLE_TIMEOUT_MAX_MS,
+			     "75000",
 			     "Milliseconds that a connection may stay idle"),
 };
 
 static const struct schema_field upstream_fields[] = {
-	SCHEMA_FIELD_STRING(struct upstream_limits, service, "service", 1, NULL,
+	SCHEMA_FIELD_STRING(struct upstream_text, service, "service", 1, NULL,
 			    "Service whose upstreams these are"),
-	SCHEMA_FIELD_INTEGER(struct upstream_limits, connections_max,
-			     "connections_max", 1, 1000000, "110",
-			     "Connections that one upstream accepts"),
-	SCHEMA_FIELD_STRING(struct upstream_limits, health_check,
-			    "health_check", 0, "",
-			    "Path of its health check; empty for none"),
+	SCHEMA_FIELD_INTEGER(struct upstream_text, connections_max,
+			     "connections_max", 1, UPSTREAM_CONNECTIONS_MAX,
+			     "110", "Connections that one upstream accepts"),
+	SCHEMA_FIELD_STRING(struct upstream_text, health_check, "health_check",
+			    0, "", "Path of its health check; empty for none"),
 };
 
 enum {
@@ -140,6 +149,8 @@
 	UPSTREAM_FIELD_COUNT =
 		sizeof(upstream_fields) / sizeof(upstream_fields[0]),
 	SERVICE_KEY_COUNT = sizeof(service_keys) / sizeof(service_keys[0]),
+	/* Kinds that are compared with a name that is unknown. */
+	NEAREST_KINDS_MAX = 256,
 };
 
 uint32_t parse_count_children(const struct toml_node *node)
@@ -279,12 +290,13 @@
 
 static const char *nearest_kind(const struct profile *profile, const char *name)
 {
-	struct schema_field names[PROFILE_KINDS_MAX] = { 0 };
-	uint32_t i;
+	struct schema_field names[NEAREST_KINDS_MAX] = { 0 };
+	uint32_t count = 0;
 
-	for (i = 0; i < profile->kind_count; i++)
-		names[i].name = profile->kinds[i].name;
-	return schema_nearest(name, names, profile->kind_count);
+	for (; count < profile->kind_count && count < NEAREST_KINDS_MAX;
+	     count++)
+		names[count].name = profile->kinds[count].name;
+	return schema_nearest(name, names, count);
 }
 
 void parse_find_kind(const struct profile *profile, uint32_t *kind,
@@ -382,6 +394,28 @@
 		    &profile->limits, faults);
 }
 
+static void read_upstream(struct profile *profile, const struct toml_node *node,
+			  struct faults *faults)
+{
+	struct upstream_limits *limits =
+		&profile->upstreams[profile->upstream_count];
+	struct upstream_text text;
+
+	if (node->type != TOML_TABLE) {
+		fault_add(faults, node->line, "upstream must be a table");
+		return;
+	}
+	text.service[0] = '\0';
+	schema_read(node, "upstream", upstream_fields, UPSTREAM_FIELD_COUNT,
+		    &text, faults);
+	snprintf(limits->service, sizeof(limits->service), "%s", text.service);
+	limits->connections_max = text.connections_max;
+	limits->health_check = strdup(text.health_check);
+	if (!limits->health_check)
+		abort();
+	profile->upstream_count++;
+}
+
 static void read_upstreams(struct profile *profile,
 			   const struct toml_node *list, struct faults *faults)
 {
@@ -394,17 +428,8 @@
 				  sizeof(*profile->upstreams), faults);
 	for (node = list->first_child;
 	     node && profile->upstream_count < PROFILE_UPSTREAMS_MAX;
-	     node = node->next) {
-		if (node->type != TOML_TABLE) {
-			fault_add(faults, node->line,
-				  "upstream must be a table");
-			continue;
-		}
-		schema_read(node, "upstream", upstream_fields,
-			    UPSTREAM_FIELD_COUNT,
-			    &profile->upstreams[profile->upstream_count++],
-			    faults);
-	}
+	     node = node->next)
+		read_upstream(profile, node, faults);
 }
 
 static bool is_service_key(const char *name)
--- a/src/profile/translation.c
+++ b/src/profile/translation.c
@@ -2,8 +2,19 @@
 
 #include <string.h>
 
+#include "base/counter.h"
+#include "base/log.h"
 #include "os/clock.h"
 
+static const char component[] = "config";
+
+COUNTER(adjusted_count, "config.entries_adjusted",
+	"Entries of translated documents in force with another value, because "
+	"theirs was outside the bounds of this program");
+COUNTER(left_out_count, "config.entries_left_out",
+	"Entries of translated documents, or parts of them, that are not in "
+	"force");
+
 /* A call waits for this long, or for the parsing of one body, at most. */
 enum { SLICE_MAX_US = 2 * US_PER_MS };
 
@@ -57,6 +68,26 @@
 	translation->done(translation->offer, err, translation->data);
 }
 
+static void log_notes(const struct document_work *work)
+{
+	const struct document_notes *notes = &work->notes;
+	uint32_t i;
+
+	counter_add(&adjusted_count, notes->adjusted);
+	counter_add(&left_out_count, notes->left_out);
+	for (i = 0; i < document_notes_stored(notes); i++) {
+		const struct document_note *note = &notes->items[i];
+
+		log_warn(component,
+			 note->effect == DOCUMENT_LEFT_OUT ? "entry_left_out"
+							   : "entry_adjusted",
+			 LOG_NUMBER("version", (int64_t)work->document.version),
+			 LOG_TEXT("entry", note->entry),
+			 LOG_TEXT("name", note->name),
+			 LOG_TEXT("reason", note->reason));
+	}
+}
+
 static void offer_head(struct translation *translation, struct error *err)
 {
 	const struct document *document = &translation->work.document;
@@ -83,6 +114,7 @@
 		translation->offer = KEEPER_REFUSED;
 		return;
 	case DOCUMENT_DONE:
+		log_notes(&translation->work);
 		offer_head(translation, err);
 		return;
 	}
--- a/src/rollout/net.h
+++ b/src/rollout/net.h
@@ -24,7 +24,7 @@
  * configuration.
  */
 
-enum { ROLLOUT_FINDING_SIZE = 256 };
+enum { ROLLOUT_FINDING_SIZE = 352 };
 
 /** typedef rollout_changed_fn - an order is new or its phase has changed. */
 typedef void rollout_changed_fn(const struct rollout *rollout, void *data);
--- a/src/route/hosts.c
+++ b/src/route/hosts.c
@@ -9,14 +9,20 @@
  * covers [0, 1) evenly at every length. */
 #define POSITION_STEP 0.61803398874989485
 
+/* Writes the host in lower case and without its port. Returns its length; 0 if
+ * it is longer than the host of any route, since a shortened name could be that
+ * of another host. */
 static size_t normalize_host(const char *host, char name[HOST_SIZE])
 {
+	size_t size = strcspn(host, ":");
 	size_t i;
 
-	memset(name, 0, HOST_SIZE);
-	for (i = 0; i + 1 < HOST_SIZE && host[i] && host[i] != ':'; i++)
+	if (size >= HOST_SIZE)
+		size = 0;
+	for (i = 0; i < size; i++)
 		name[i] = (char)tolower((unsigned char)host[i]);
-	return i;
+	name[size] = '\0';
+	return size;
 }
 
 static uint64_t hash_key(uint64_t host_hash, const char *prefix, size_t size)
@@ -32,6 +38,13 @@
 	return XXH3_64bits(name, size);
 }
 
+static bool host_valid(const char *host)
+{
+	char name[HOST_SIZE];
+
+	return normalize_host(host, name) > 0;
+}
+
 static void add_route(struct host_table *table, struct host_entry *entry,
 		      const struct profile *profile,
 		      const struct host_route *route, struct random *random)
@@ -111,7 +124,7 @@
 			      const char *path)
 {
 	uint64_t host_hash = hash_host(host);
-	size_t size = strlen(path);
+	size_t size = host_valid(host) ? strlen(path) : 0;
 
 	for (; size; size--) {
 		struct host_entry *entry;
--- a/src/route/route.c
+++ b/src/route/route.c
@@ -503,6 +503,8 @@
 	entry = hosts_find(&router->hosts, host, path);
 	if (!entry)
 		return ROUTE_NO_HOST;
+	if (entry->rule->closed)
+		return ROUTE_CLOSED;
 	match->config = router->config;
 	match->profile = entry->profile;
 	match->kind = &entry->profile->kinds[entry->rule->kind];
@@ -525,6 +527,7 @@
 		"the profile of the service is not in force here",
 		"the profile has no route for this method and path",
 		"no route fits this host and path",
+		"the route names no usable service",
 	};
 
 	return texts[result];
--- a/src/route/route.h
+++ b/src/route/route.h
@@ -239,6 +239,7 @@
 	ROUTE_NO_PROFILE, /* the profile of the service is not in force */
 	ROUTE_NO_KIND,	  /* the profile has no route for method and path */
 	ROUTE_NO_HOST,	  /* no host route matches host and path */
+	ROUTE_CLOSED,	  /* the host route rejects all requests */
 };
 
 /**
