--- a/test/standin/upstream.h
+++ b/test/standin/upstream.h
@@ -24,6 +24,8 @@
  *					"crash":true the upstream crashes, with
  *					"replace":true another incarnation
  *					takes its place at the address
+ *	GET  /healthz			the health check, with the interface of
+ *					the target platform
  *	any other path			a request, answered with its id
  *
  * The query of a request may set ?bytes=N (size of the answer) and
@@ -66,6 +68,9 @@
  * @lose: share of the requests that run and whose connection is then closed
  * @unavailable: share of the requests that run and are answered with 503
  *	without proof, as if a call of their own had been refused
+ * @health: status of the health check; 0 for 200, and 503 while leaving
+ * @health_id: ID of the incarnation in the health check; empty for that of the
+ *	heartbeats
  * @load: load that is reported; negative to report the
  *	number of waiting and running requests per slot
  */
@@ -89,6 +94,8 @@
 	double unnamed;
 	double lose;
 	double unavailable;
+	int health;
+	char health_id[UPSTREAM_NOTICE_SIZE];
 	double load;
 };
 
--- a/test/standin/upstream_work.c
+++ b/test/standin/upstream_work.c
@@ -534,6 +534,7 @@
 		{ "unnamed", NULL, &faults->unnamed },
 		{ "lose", NULL, &faults->lose },
 		{ "unavailable", NULL, &faults->unavailable },
+		{ "health", &faults->health, NULL },
 		{ "load", NULL, &faults->load },
 	};
 	size_t i;
@@ -550,6 +551,16 @@
 	}
 }
 
+static void read_health_id(struct upstream *upstream, const json_t *body)
+{
+	const char *text =
+		json_string_value(json_object_get(body, "health_id"));
+
+	if (text)
+		snprintf(upstream->faults.health_id,
+			 sizeof(upstream->faults.health_id), "%s", text);
+}
+
 static void read_rate_limit(struct upstream *upstream, const json_t *body)
 {
 	const char *text =
@@ -598,6 +609,7 @@
 
 	read_faults(upstream, body);
 	read_rate_limit(upstream, body);
+	read_health_id(upstream, body);
 	if (!read_odd(upstream, body)) {
 		json_decref(body);
 		http_exchange_reply(exchange, STATUS_BAD_REQUEST, NULL, 0,
@@ -616,6 +628,32 @@
 	reply_json(exchange, json_object());
 }
 
+static bool has_health_check(const struct upstream *upstream)
+{
+	return upstream->options.heartbeats || upstream->faults.health_id[0];
+}
+
+static void answer_health(struct upstream *upstream,
+			  struct http_exchange *exchange)
+{
+	unsigned int status = (unsigned int)upstream->faults.health;
+	char id[UPSTREAM_ID_SIZE];
+	char load[64];
+	const struct http_header headers[] = {
+		{ "X-Instance-Id", upstream->faults.health_id[0]
+					   ? upstream->faults.health_id
+					   : upstream_id(upstream, id) },
+		{ "X-Server-Load", load },
+	};
+
+	if (!status)
+		status = upstream->leaving_us ? STATUS_UNAVAILABLE : STATUS_OK;
+	snprintf(load, sizeof(load), "%u,%u,%u", upstream->running_count,
+		 upstream->waiting_count, upstream->options.slots);
+	http_exchange_reply(exchange, status, headers,
+			    sizeof(headers) / sizeof(headers[0]), "", 0);
+}
+
 static void handle(struct http_exchange *exchange, void *data)
 {
 	struct upstream *upstream = data;
@@ -631,6 +669,8 @@
 		reply_json(exchange, upstream_tenants(upstream));
 	else if (!strcmp(path, "/standin/faults"))
 		set_faults(upstream, exchange);
+	else if (!strcmp(path, "/healthz") && has_health_check(upstream))
+		answer_health(upstream, exchange);
 	else
 		add_job(upstream, exchange);
 }
