announce: a restarted node asks the upstream before it lists it

What callers saw: an upstream deregistered, the node beside it acknowledged that, was killed and started again. A heartbeat from before arrived late, and 100 to 128 unsafe requests ran on the upstream until 8.5 s after the acknowledgement, on an upstream that ends and cuts them in production.

Cause: the leaving and the highest sequence are known to one process; its successor takes the first heartbeat for the first word of a new upstream.

A node that may have run before now holds back the first announcement from an address until the health check there confirms it: 200 with the same id. 503 or another id refutes it, and the next announcement is checked again; two checks without a result are as good as a confirmation, so that an upstream without a health check is not lost. No memory is needed, so it holds after all nodes have restarted, and while the store is down.

--- a/src/call/announce.c
+++ b/src/call/announce.c
@@ -26,6 +26,9 @@
 	 * lost. */
 	LATE_MAX_MS = 3000,
 	INTERVALS_MAX = 2,
+	/* Health checks without a result after which the newest message is
+	 * believed: each of them has followed a newer message. */
+	HEALTH_UNKNOWN_MAX = 2,
 };
 
 COUNTER(renewed, "call.announcements", "Announcements of the own upstream");
@@ -36,6 +39,12 @@
 COUNTER(expired_count, "call.announcements_expired",
 	"Times that the own upstream stopped renewing");
 
+COUNTER(held_count, "call.announcements_held",
+	"Words of the upstream that waited for its health check, since an "
+	"earlier process of this node may know that the upstream leaves");
+COUNTER(refuted_count, "call.announcements_refuted",
+	"Words of the upstream that its health check did not confirm");
+
 static bool set_member_error(struct error *err, const char *name,
 			     const char *rule)
 {
@@ -291,6 +300,85 @@
 	return XXH64(incarnation->id, strlen(incarnation->id), seed);
 }
 
+static void drop_held(struct announce *announce)
+{
+	announce->is_held = false;
+	announce->unknown_count = 0;
+}
+
+static void hold(struct announce *announce,
+		 const struct announcement *announcement)
+{
+	counter_add(&held_count, 1);
+	log_info(component, "upstream_held",
+		 LOG_TEXT("start", announcement->id),
+		 LOG_TEXT("service", announcement->service));
+	announce->held = *announcement;
+	announce->is_held = true;
+	announce->options.held(&announce->held, announce->options.data);
+}
+
+static void list_held(struct announce *announce)
+{
+	struct announcement held = announce->held;
+
+	drop_held(announce);
+	announce->confirmed = held.address;
+	log_info(component, "upstream_confirmed", LOG_TEXT("start", held.id));
+	set_announcement(announce, &held);
+}
+
+static void refute_held(struct announce *announce, const char *id)
+{
+	counter_add(&refuted_count, 1);
+	log_warn(component, "upstream_refuted",
+		 LOG_TEXT("start", announce->held.id),
+		 LOG_TEXT("answered", id ? id : ""));
+	drop_held(announce);
+}
+
+void announce_health(struct announce *announce, const char *id,
+		     enum upstream_health health)
+{
+	if (!announce->is_held)
+		return;
+	if (health != UPSTREAM_UNKNOWN && id && strcmp(id, announce->held.id)) {
+		refute_held(announce, id);
+		return;
+	}
+	switch (health) {
+	case UPSTREAM_TAKES_REQUESTS:
+		list_held(announce);
+		return;
+	case UPSTREAM_TAKES_NONE:
+		refute_held(announce, id);
+		return;
+	case UPSTREAM_UNKNOWN:
+		if (++announce->unknown_count >= HEALTH_UNKNOWN_MAX)
+			list_held(announce);
+		return;
+	}
+}
+
+const struct announcement *announce_held(const struct announce *announce)
+{
+	return announce->is_held ? &announce->held : NULL;
+}
+
+/* Returns true if the upstream has to confirm a message that says that it takes
+ * requests. Where it has confirmed one, this process has heard all that matters
+ * since: an earlier incarnation is gone from the address. */
+static bool needs_health(struct announce *announce,
+			 const struct announce_message *message)
+{
+	const struct address *address = &message->upstream.address;
+
+	if (message->is_answer)
+		announce->confirmed = *address;
+	return announce->options.confirm && !message->leaving &&
+	       !address_equal(&announce->confirmed, address);
+}
+
 void announce_receive(struct announce *announce,
 		      const struct announce_message *message)
 {
@@ -309,9 +397,16 @@
 	}
 	/* The state of the previous process is not valid for a new process,
 	 * even if both have the same id and address. */
-	if (change_count != announce->incarnations.change_count)
+	if (change_count != announce->incarnations.change_count) {
 		remove_upstream(announce);
+		drop_held(announce);
+	}
 	upstream.start = start_of(&announce->incarnations.present);
+	if (needs_health(announce, message)) {
+		hold(announce, &upstream);
+		return;
+	}
+	drop_held(announce);
 	if (message->is_deregistration)
 		apply_deregistration(announce);
 	else
@@ -372,8 +467,10 @@
 
 void announce_confirm_id(struct announce *announce, const char *id)
 {
-	if (!incarnations_confirm(&announce->incarnations, id) ||
-	    !announce->present)
+	if (!incarnations_confirm(&announce->incarnations, id))
+		return;
+	drop_held(announce);
+	if (!announce->present)
 		return;
 	log_warn(component, "upstream_corrected", LOG_TEXT("start", id),
 		 LOG_TEXT("announced", announce->current.id));
--- a/src/call/announce.h
+++ b/src/call/announce.h
@@ -19,6 +19,13 @@
  *	DELETE /v1/upstream
  *	GET    /v1/upstream
  *
+ * A node that restarts has forgotten that its upstream leaves, and a message
+ * that the upstream sent before may still arrive. A restarted node therefore
+ * holds back the first message from an address, until the health check there
+ * confirms that the upstream takes requests. The upstream itself is asked, and
+ * not the peers or the platform's service: they may all have restarted, or may
+ * not have heard of the leaving.
+ *
  * An announcement expires unless the upstream renews it, so that an upstream
  * that crashes is not listed for longer than the announcement's time to live.
  * Only this module parses this wire format; platform/heartbeat.h parses that of
@@ -61,6 +68,8 @@
  * @leaving: true if the upstream takes no new requests
  * @is_deregistration: true if the message carries only the id of an upstream
  *	that is shutting down
+ * @is_answer: true if the upstream has sent the message in an answer, so that
+ *	the message is not older than the question
  */
 struct announce_message {
 	struct announcement upstream;
@@ -68,8 +77,22 @@
 	uint64_t sequence;
 	bool leaving;
 	bool is_deregistration;
+	bool is_answer;
+};
+
+/** enum upstream_health - result of a health check. */
+enum upstream_health {
+	UPSTREAM_TAKES_REQUESTS,
+	UPSTREAM_TAKES_NONE, /* it leaves, or is not well */
+	UPSTREAM_UNKNOWN,    /* no answer, or one that says neither */
 };
 
+/**
+ * typedef announce_held_fn - called when an announcement is held back
+ * @upstream: the announcement; announce_health() must follow
+ */
+typedef void announce_held_fn(const struct announcement *upstream, void *data);
+
 /**
  * typedef announce_changed_fn - called after a change other than of the load
  * @upstream: the new announcement; NULL if no upstream is listed
@@ -82,14 +105,19 @@
  * @form: the interface whose wire format the upstream uses
  * @ttl_ms: least time until an announcement expires, in milliseconds
  * @interval_ms: time between two announcements, in milliseconds; 0 if unknown
+ * @confirm: hold announcements back until the upstream has confirmed them, see
+ *	DOC; for nodes that may have run before
+ * @held: callback for announcements that are held back
  * @changed: callback for changes of the announcement
- * @data: passed to @changed
+ * @data: passed to @held and @changed
  */
 struct announce_options {
 	enum interface_form form;
 	struct loop *loop;
 	int64_t ttl_ms;
 	int64_t interval_ms;
+	bool confirm;
+	announce_held_fn *held;
 	announce_changed_fn *changed;
 	void *data;
 };
@@ -97,8 +125,13 @@
 /**
  * struct announce - the announcement of the local upstream
  * @current: the newest announcement; valid if @present
+ * @held: announcement that is held back; valid if @is_held
+ * @unknown_count: health checks of @held in a row without a result
+ * @confirmed: address at which the upstream has confirmed that it takes
+ *	requests; family 0 for none
  * @incarnations: known incarnations of the upstream
  * @present: true if an upstream is listed
+ * @is_held: true if an announcement is held back
  * @told_leaving: true if the listed upstream, which has no id, has said in an
  *	answer that it leaves
  * @expiry: removes the announcement after its time to live
@@ -106,8 +139,12 @@
 struct announce {
 	struct announce_options options;
 	struct announcement current;
+	struct announcement held;
+	struct address confirmed;
 	struct incarnations incarnations;
+	uint32_t unknown_count;
 	bool present;
+	bool is_held;
 	bool told_leaving;
 	struct timer expiry;
 };
@@ -154,6 +191,18 @@
 void announce_receive(struct announce *announce,
 		      const struct announce_message *message);
 
+/** announce_held() - return the announcement that is held back, or NULL. */
+const struct announcement *announce_held(const struct announce *announce);
+
+/**
+ * announce_health() - process a health check of the upstream
+ * @id: incarnation that has answered; NULL if not known
+ *
+ * Does nothing if no announcement is held back.
+ */
+void announce_health(struct announce *announce, const char *id,
+		     enum upstream_health health);
+
 /** announce_handle() - http_handler_fn; @data points to a struct announce. */
 void announce_handle(struct http_exchange *exchange, void *data);
 
--- a/src/call/upstream_probe_test.c
+++ b/src/call/upstream_probe_test.c
@@ -63,3 +63,57 @@
 		cr_expect_eq(upstream.state, UPSTREAM_SERVING);
 	}
 }
+
+/* Guards against an upstream that counts as leaving, or as well, because it had
+ * no slot for the health check. */
+Test(upstream_probe, an_answer_confirms_refutes_or_says_nothing)
+{
+	static const struct {
+		const char *name;
+		enum http_delivery delivery;
+		unsigned int status;
+		const char *id;
+		const char *not_run;
+		enum upstream_health wanted;
+	} cases[] = {
+		{ "well", HTTP_ANSWERED, 200, "i-1", NULL,
+		  UPSTREAM_TAKES_REQUESTS },
+		{ "leaving or unhealthy", HTTP_ANSWERED, 503, "i-1", NULL,
+		  UPSTREAM_TAKES_NONE },
+		{ "rejected, full", HTTP_ANSWERED, 503, "i-1", "1",
+		  UPSTREAM_UNKNOWN },
+		{ "rejected, too many", HTTP_ANSWERED, 429, "i-1", "1",
+		  UPSTREAM_UNKNOWN },
+		{ "without an id", HTTP_ANSWERED, 200, NULL, NULL,
+		  UPSTREAM_UNKNOWN },
+		{ "unavailable without an id", HTTP_ANSWERED, 503, NULL, NULL,
+		  UPSTREAM_UNKNOWN },
+		{ "no such path", HTTP_ANSWERED, 404, "i-1", NULL,
+		  UPSTREAM_UNKNOWN },
+		{ "error", HTTP_ANSWERED, 500, "i-1", NULL, UPSTREAM_UNKNOWN },
+		{ "no answer", HTTP_MAY_BE_SENT, 0, NULL, NULL,
+		  UPSTREAM_UNKNOWN },
+		{ "not sent", HTTP_NOT_SENT, 0, NULL, NULL, UPSTREAM_UNKNOWN },
+	};
+	const struct call_names *names = call_names(INTERFACE_PLATFORM);
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct http_header headers[2];
+		struct http_answer answer = { .delivery = cases[i].delivery,
+					      .status = cases[i].status,
+					      .headers = headers };
+		const char *id;
+
+		if (cases[i].id)
+			headers[answer.header_count++] =
+				(struct http_header){ names->instance_id,
+						      cases[i].id };
+		if (cases[i].not_run)
+			headers[answer.header_count++] =
+				(struct http_header){ names->not_run,
+						      cases[i].not_run };
+		cr_expect_eq(upstream_probe_health(names, &answer, &id),
+			     cases[i].wanted, "%s", cases[i].name);
+	}
+}
--- a/src/node/callbacks.c
+++ b/src/node/callbacks.c
@@ -88,22 +88,60 @@
 	return NULL;
 }
 
+/* Returns the path of the health check of the upstreams of a service; "" if
+ * they have none. Sets *profile to the profile that covers the service. */
+static const char *health_check_of(const struct config *config,
+				   const char *service,
+				   const struct profile **profile)
+{
+	const struct upstream_limits *limits =
+		find_upstream_limits(config, service, profile);
+	uint32_t i;
+
+	/* The limits may stand in a profile that covers no service. */
+	for (i = 0; i < config->profile_count; i++) {
+		if (!profile_covers(config->profiles[i].profile, service))
+			continue;
+		*profile = config->profiles[i].profile;
+		break;
+	}
+	return limits ? limits->health_check : "";
+}
+
 /* The answer to a probe does not contain the version of the upstream. If the
  * service is being rolled out, the version decides which requests the upstream
  * gets, so the node waits for the next heartbeat and sends no probe. */
 static void probe_upstream(struct node *node, const struct config *config)
 {
 	const char *service = node->settings->node.service;
-	const struct upstream_limits *limits;
-	const struct profile *profile;
+	const struct profile *profile = NULL;
+	const char *path;
 
 	if (node->settings->node.first_start ||
 	    rollout_net_splits_traffic(&node->rollout, service))
 		return;
-	limits = find_upstream_limits(config, service, &profile);
-	if (limits)
-		upstream_probe_send(&node->upstream_probe, profile->name,
-				    limits->health_check);
+	path = health_check_of(config, service, &profile);
+	if (profile)
+		upstream_probe_send(&node->upstream_probe, profile->name, path);
+}
+
+/* Without a configuration, the path of the health check is not known yet. */
+static void confirm_upstream(struct node *node, const struct config *config)
+{
+	const struct announcement *held = announce_held(&node->announce);
+	const struct profile *profile;
+
+	if (held && config)
+		upstream_probe_confirm(&node->upstream_probe, held,
+				       health_check_of(config, held->service,
+						       &profile));
+}
+
+void node_upstream_held(const struct announcement *held, void *data)
+{
+	struct node *node = data;
+
+	confirm_upstream(node, keeper_config(&node->keeper));
 }
 
 static void config_changed(struct config *config, void *data)
@@ -114,6 +152,7 @@
 	router_set_config(&node->router, config);
 	quota_net_set_tenants(&node->quota, &node->router.tenants);
 	set_cold_start(node);
+	confirm_upstream(node, config);
 	probe_upstream(node, config);
 }
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -337,6 +337,9 @@
 		.interval_ms =
 			(int64_t)(node->settings->upstream.announce_interval_s *
 				  MS_PER_S),
+		.confirm = node->settings->node.form == INTERFACE_PLATFORM &&
+			   !node->settings->node.first_start,
+		.held = node_upstream_held,
 		.changed = node_upstream_changed,
 		.data = node,
 	};
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -128,6 +128,9 @@
 /** node_connect_operator() - register the callback for drills. */
 void node_connect_operator(struct node *node);
 
+/** node_upstream_held() - an announce_held_fn. */
+void node_upstream_held(const struct announcement *held, void *data);
+
 /** node_upstream_changed() - an announce_changed_fn. */
 void node_upstream_changed(const struct announcement *current, void *data);
 
