http: a status below 100 or above 599 is no answer

What callers saw: an upstream that answers with 000, 0 or 099 held the call until its deadline (504), since a status below 200 counted as an interim answer and the client waited for another one. 600 and 999 reached the caller.

Such an answer now ends its attempt at once (RFC 9110, 15): 502 for an unsafe request, another attempt for others. Counter http.answers_without_status.

A head that stops is ruled out: framing/no_part_of_an_answer_is_whole cuts eight answers behind each byte, with an end and with a reset, and three kinds play it with real nodes. Both pass without a change of the product.

--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -24,16 +24,20 @@
 	IDLE_CHECK_MS = 1000,
 	/* Attempts at a request reach this process with different delays. */
 	REPEAT_MARGIN_MS = 1000,
+	STATUS_MIN = 100,
 	STATUS_SWITCHING = 101,
 	STATUS_OK = 200,
 	STATUS_NO_CONTENT = 204,
 	STATUS_NOT_MODIFIED = 304,
+	STATUS_MAX = 599,
 };
 
 COUNTER(stray_count, "http.stray_answers",
 	"Answers skipped because they belonged to an earlier request");
 COUNTER(unnamed_count, "http.unnamed_answers",
 	"Answers refused because they may belong to an earlier request");
+COUNTER(bad_status_count, "http.answers_without_status",
+	"Answers refused because their status is below 100 or above 599");
 COUNTER(read_bytes, "http.answer_bytes",
 	"Bytes read from servers to which requests were sent");
 COUNTER(over_limit_count, "http.answers_over_limit",
@@ -147,6 +151,17 @@
 	return true;
 }
 
+/* A status below 100 is no interim answer, and callers cannot tell the class of
+ * one above 599 (RFC 9110, 15). */
+static bool check_status(struct http_transfer *transfer)
+{
+	transfer->bad_status = transfer->status < STATUS_MIN ||
+			       transfer->status > STATUS_MAX;
+	if (transfer->bad_status)
+		counter_add(&bad_status_count, 1);
+	return !transfer->bad_status;
+}
+
 static int on_head(http_parser *parser)
 {
 	struct http_transfer *transfer = transfer_of(parser);
@@ -158,7 +173,7 @@
 	if (transfer->head.invalid)
 		return -1;
 	transfer->status = parser->status_code;
-	if (!check_owner(transfer))
+	if (!check_status(transfer) || !check_owner(transfer))
 		return -1;
 	transfer->delimited = is_delimited(transfer, parser);
 	parser->upgrade = 0;
@@ -312,6 +327,11 @@
 			     "answer has a malformed header field");
 			return false;
 		}
+		if (transfer->bad_status) {
+			fail(conn, ERROR_PROTOCOL,
+			     "answer has a status below 100 or above 599");
+			return false;
+		}
 		if (transfer->unnamed) {
 			fail(conn, ERROR_PROTOCOL,
 			     "answer does not name its request");
--- a/src/http/client_conn.h
+++ b/src/http/client_conn.h
@@ -64,6 +64,7 @@
  * @skipping: whether the present answer is skipped
  * @unnamed: whether the present answer does not name its request though its
  *	connection has carried others
+ * @bad_status: whether the present answer has a status that is none
  * @head_deadline_us: monotonic time limit for the rest of a head that came in
  *	part, in microseconds; 0 for none
  * @complete: whether the answer is complete
@@ -99,6 +100,7 @@
 	bool in_head;
 	bool skipping;
 	bool unnamed;
+	bool bad_status;
 	int64_t head_deadline_us;
 	bool complete;
 	bool delimited;
--- a/src/http/framing_client_test.c
+++ b/src/http/framing_client_test.c
@@ -230,6 +230,37 @@
 		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
 		  "Content-Length: 3\r\n\r\nhi",
 		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 000",
+		  "HTTP/1.1 000 None\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 0",
+		  "HTTP/1.1 0 None\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 99",
+		  "HTTP/1.1 99 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 099, then an answer",
+		  "HTTP/1.1 099 Odd\r\n\r\nHTTP/1.1 200 OK\r\n"
+		  "Content-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "the least status of an answer",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_ANSWERED, 200, "hi", false, false, true, true },
+		{ "the greatest status",
+		  "HTTP/1.1 599 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_ANSWERED, 599, "hi", false, false, true, true },
+		{ "status 600",
+		  "HTTP/1.1 600 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 999",
+		  "HTTP/1.1 999 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status 1000",
+		  "HTTP/1.1 1000 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
+		{ "status -200",
+		  "HTTP/1.1 -200 Odd\r\nContent-Length: 2\r\nX-Id: 7\r\n\r\nhi",
+		  HTTP_MAY_BE_SENT, 0, "", false, false, false, false },
 		{ "no content", "HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n",
 		  HTTP_ANSWERED, 204, "", false, false, true, true },
 	};
@@ -248,3 +279,82 @@
 	http_client_finish(&client);
 	net_close(listen_fd);
 }
+
+/* An answer that is sent in part. Without a length, the end of the connection
+ * behind the head completes it. */
+struct cut_answer {
+	const char *name;
+	const char *answer;
+	bool has_length;
+};
+
+/* Guards against a 200 with an empty or short body, framed as whole, after a
+ * server that stops in the middle of the head: at every byte of it, and with a
+ * regular end of the connection as well as a reset. */
+Test(framing, no_part_of_an_answer_is_whole, .init = setup, .fini = teardown)
+{
+	static const struct cut_answer answers[] = {
+		{ "length",
+		  "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 2\r\n\r\nhi",
+		  true },
+		{ "length 0",
+		  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Id: 7\r\n\r\n",
+		  true },
+		{ "chunks",
+		  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: 7\r\n"
+		  "\r\n2\r\nhi\r\n0\r\n\r\n",
+		  true },
+		{ "behind an interim answer",
+		  "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX-Id: 7\r\n"
+		  "Content-Length: 2\r\n\r\nhi",
+		  true },
+		{ "no content", "HTTP/1.1 204 No Content\r\nX-Id: 7\r\n\r\n",
+		  true },
+		{ "no length", "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\nhi", false },
+		{ "folded field",
+		  "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-More: a\r\n b\r\n"
+		  "Content-Length: 2\r\n\r\nhi",
+		  true },
+		{ "line ends without CR",
+		  "HTTP/1.1 200 OK\nX-Id: 7\nContent-Length: 2\n\nhi", true },
+	};
+	struct http_client client;
+	struct address address;
+	struct error err = ERROR_INIT;
+	int listen_fd;
+	size_t i;
+
+	address_parse("127.0.0.1:0", &address, &err);
+	listen_fd = net_listen(&address, &err);
+	cr_assert_neq(listen_fd, NET_NONE);
+	cr_assert(http_client_init(&client, &loop, &err));
+	for (i = 0; i < COUNT(answers); i++) {
+		const char *answer = answers[i].answer;
+		size_t whole = answers[i].has_length
+				       ? strlen(answer)
+				       : strlen(answer) - strlen("hi");
+		size_t size;
+
+		for (size = 0; size < whole * 2; size++) {
+			char part[256];
+			char name[96];
+			const struct script script = {
+				.name = name,
+				.answer = part,
+				.delivery = HTTP_MAY_BE_SENT,
+				.body = "",
+				.server_closes = size % 2,
+				.server_resets = !(size % 2),
+			};
+
+			snprintf(part, sizeof(part), "%.*s", (int)(size / 2),
+				 answer);
+			snprintf(name, sizeof(name), "%s: %zu bytes, %s",
+				 answers[i].name, size / 2,
+				 size % 2 ? "end" : "reset");
+			run_script(&client, listen_fd, &address, &script);
+		}
+	}
+	http_client_finish(&client);
+	net_close(listen_fd);
+}
--- a/test/standin/odd_answer.h
+++ b/test/standin/odd_answer.h
@@ -25,6 +25,7 @@
  * @fields: number of further fields
  * @field_bytes: size of the value of each
  * @trailers: number of trailer fields after @body
+ * @ends: closes the connection behind the answer
  * @is_marked: adds the ID of the request and the mark of an upstream
  */
 struct odd_kind {
@@ -37,6 +38,7 @@
 	uint32_t fields;
 	uint32_t field_bytes;
 	uint32_t trailers;
+	bool ends;
 	bool is_marked;
 };
 
