--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -244,12 +244,23 @@
 	return table && table->type == TOML_TABLE && toml_find(table, key);
 }
 
-/* The times of a stop that are not set follow from the grace period. */
+static bool sets_stop_time(const struct toml_node *root)
+{
+	return is_set(root, "call", "linger_ms") ||
+	       is_set(root, "call", "keep_upstream_ms") ||
+	       is_set(root, "call", "drain_ms");
+}
+
+/* The times of a stop that are not set follow from the grace period. The target
+ * platform ends each process after one, also where it does not tell which. */
 static void derive_stop_times(const struct toml_node *root,
+			      enum interface_form form,
 			      struct settings_call *call)
 {
 	int64_t grace_ms = (int64_t)(call->grace_s * MS_PER_S);
 
+	if (form == INTERFACE_PLATFORM && !grace_ms && !sets_stop_time(root))
+		grace_ms = STOP_GRACE_DEFAULT_MS;
 	if (!grace_ms)
 		return;
 	if (!is_set(root, "call", "linger_ms"))
@@ -304,7 +315,7 @@
 	check_seeds(root, &draft, faults);
 	check_secrets(root, &draft, faults);
 	check_relations(root, &draft, faults);
-	derive_stop_times(root, &draft.settings.call);
+	derive_stop_times(root, draft.settings.node.form, &draft.settings.call);
 	toml_free(root);
 	if (faults->count)
 		return false;
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -179,7 +179,9 @@
 			  "grace_s", 0, 3600, "0",
 			  "Seconds from SIGTERM until this process is killed; "
 			  "linger_ms, keep_upstream_ms and drain_ms follow "
-			  "from them where they are not set; 0 if not known"),
+			  "from them where they are not set; 0 if not known, "
+			  "which is 6 on the target platform if none of them "
+			  "is set"),
 	NUMBER(call.drain_ms, "drain_ms", 0, 3600000, "30000",
 	       "How long work in progress may take when this node stops"),
 	NUMBER(call.linger_ms, "linger_ms", 0, 600000, "0",
--- a/src/node/stop_times.h
+++ b/src/node/stop_times.h
@@ -17,6 +17,8 @@
 	/* Time for which callers are served after the upstream beside the node
 	 * has stopped getting new work. */
 	STOP_KEEP_MARGIN_MS = 300,
+	/* Grace period of the target platform, where it does not name one. */
+	STOP_GRACE_DEFAULT_MS = 6000,
 };
 
 /** stop_times_work_ms() - time from the signal until work is cancelled, so that
--- a/test/functional/examples_test.c
+++ b/test/functional/examples_test.c
@@ -18,6 +18,8 @@
 
 enum { NODES_MAX = 16, WAIT_MS = 30000, TEXT_SIZE = 8192, PATH_SIZE = 2048 };
 
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+
 struct example {
 	const char *name;
 	uint32_t nodes;
@@ -210,84 +212,160 @@
 		run_example(&examples[i]);
 }
 
-/* Values of the fields with which the platform completes deploy/node.toml. */
+/* Fields with which the platform completes deploy/node.toml, and their values
+ * as TOML. */
 static const struct {
 	const char *field;
 	const char *value;
 } platform_fields[] = {
-	{ "{{zone|json}}", "\"hall\"" },
-	{ "{{node_id|json}}", "\"side-1\"" },
-	{ "{{service|json}}", "\"huvo\"" },
-	{ "{{bootstrap}}", "true" },
-	{ "{{limits.link_mbps}}", "1000" },
-	{ "{{ip}}", "127.0.0.1" },
-	{ "{{port_range.0}}", "1" },
-	{ "{{listen.outbound|json}}", "\"127.0.0.1:2\"" },
-	{ "{{listen.control|json}}", "\"127.0.0.1:3\"" },
-	{ "{{listen.ready|json}}", "\"127.0.0.1:4\"" },
-	{ "{{provider.address|json}}", "\"127.0.0.1:5\"" },
-	{ "{{app_addr|json}}", "\"127.0.0.1:6\"" },
-	{ "{{bounds.budget_slack}}", "58" },
-	{ "{{bounds.budget_window_s}}", "10" },
-	{ "{{heartbeat_interval_s}}", "1.5" },
+	{ "zone|json", "\"hall\"" },
+	{ "node_id|json", "\"side-1\"" },
+	{ "service|json", "\"huvo\"" },
+	{ "bootstrap", "true" },
+	{ "limits.link_mbps", "1000" },
+	{ "ip", "127.0.0.1" },
+	{ "port_range.0", "1" },
+	{ "listen.outbound|json", "\"127.0.0.1:2\"" },
+	{ "listen.control|json", "\"127.0.0.1:3\"" },
+	{ "listen.ready|json", "\"127.0.0.1:4\"" },
+	{ "provider.address|json", "\"127.0.0.1:5\"" },
+	{ "app_addr|json", "\"127.0.0.1:6\"" },
+	{ "bounds.budget_slack", "58" },
+	{ "bounds.budget_window_s", "10" },
+	{ "bounds.grace_s", "6" },
+	{ "heartbeat_interval_s", "1.5" },
+};
+
+/**
+ * struct given - what the platform gives
+ * @missing: field without a value; NULL for none
+ * @grace_s: value of bounds.grace_s; NULL for the usual one
+ * @drops_lines: drops lines that hold a mark of a section, and keeps the others
+ *	of each section
+ */
+struct given {
+	const char *missing;
+	const char *grace_s;
+	bool drops_lines;
 };
 
-/* Appends @line to @text with its placeholders replaced. */
-static void append_completed(char *text, const char *line, const char *grace_s)
+static const char *value_of(const struct given *given, const char *field)
 {
-	static const char grace_field[] = "{{bounds.grace_s}}";
 	size_t i;
 
-	while (*line) {
-		const char *value = NULL;
-		size_t size = 0;
+	if (given->missing && !strcmp(field, given->missing))
+		return NULL;
+	if (given->grace_s && !strcmp(field, "bounds.grace_s"))
+		return given->grace_s;
+	for (i = 0; i < COUNT(platform_fields); i++)
+		if (!strcmp(field, platform_fields[i].field))
+			return platform_fields[i].value;
+	cr_assert_fail("the test lacks the field %s", field);
+	return NULL;
+}
 
-		if (!strncmp(line, grace_field, strlen(grace_field))) {
-			value = grace_s;
-			size = strlen(grace_field);
-		}
-		for (i = 0;
-		     !value &&
-		     i < sizeof(platform_fields) / sizeof(platform_fields[0]);
-		     i++) {
-			size = strlen(platform_fields[i].field);
-			if (!strncmp(line, platform_fields[i].field, size))
-				value = platform_fields[i].value;
+/* Appends the part of the template up to @end, completed. */
+static void complete(const struct given *given, char *out, const char *at,
+		     const char *end)
+{
+	while (at < end) {
+		const char *mark = strstr(at, "{{");
+		const char *close;
+		const char *value;
+		char field[64];
+		char section_end[80];
+
+		if (!mark || mark >= end)
+			mark = end;
+		strncat(out, at, (size_t)(mark - at));
+		if (mark == end)
+			return;
+		close = strstr(mark, "}}");
+		cr_assert_not_null(close);
+		snprintf(field, sizeof(field), "%.*s", (int)(close - mark - 2),
+			 mark + 2);
+		at = close + 2;
+		if (field[0] != '#' && field[0] != '^') {
+			value = value_of(given, field);
+			strncat(out, value ? value : "", TEXT_SIZE / 8);
+			continue;
 		}
-		cr_assert(value || strncmp(line, "{{", 2) != 0, "%s", line);
-		if (!value)
-			size = 1;
-		snprintf(text + strlen(text), TEXT_SIZE - strlen(text), "%.*s",
-			 value ? (int)strlen(value) : 1, value ? value : line);
-		line += size;
+		snprintf(section_end, sizeof(section_end), "{{/%s}}",
+			 field + 1);
+		close = strstr(at, section_end);
+		cr_assert_not_null(close);
+		if (!value_of(given, field + 1) == (field[0] == '^'))
+			complete(given, out, at, close);
+		at = close + strlen(section_end);
 	}
 }
 
-/* Reads the settings as the platform completes them; @grace_s is NULL if the
- * platform names no grace period. */
-static void read_deployed(struct settings *settings, const char *grace_s)
+/* Removes the lines that hold a mark of a section. */
+static void drop_marks(char *text)
 {
-	FILE *file = fopen("deploy/node.toml", "re");
-	struct faults faults = { 0 };
-	char text[TEXT_SIZE] = "";
-	char line[512];
-	bool omitted = false;
-
-	cr_assert_not_null(file);
-	while (fgets(line, sizeof(line), file)) {
-		if (!strncmp(line, "{{/", 3))
-			omitted = false;
-		else if (!strncmp(line, "{{^", 3))
-			omitted = !strstr(line, "grace_s") || grace_s;
-		else if (!strncmp(line, "{{#", 3))
-			omitted = strstr(line, "grace_s") && !grace_s;
-		else if (!omitted)
-			append_completed(text, line, grace_s);
-		cr_assert_lt(strlen(text), TEXT_SIZE - sizeof(line));
+	char *line = text;
+
+	while (*line) {
+		char *next = strchr(line, '\n') + 1;
+		char *mark = strstr(line, "{{");
+
+		while (mark && mark < next && !strchr("#^/", mark[2]))
+			mark = strstr(mark + 2, "{{");
+		if (mark && mark < next)
+			memmove(line, next, strlen(next) + 1);
+		else
+			line = next;
 	}
-	fclose(file);
+}
+
+/* Reads the settings as the platform completes them. */
+static void read_deployed(struct settings *settings, const struct given *given)
+{
+	char *template = read_file("deploy/node.toml");
+	static char text[TEXT_SIZE];
+	struct faults faults = { 0 };
+
+	cr_assert_lt(strlen(template), sizeof(text) / 2);
+	if (given->drops_lines)
+		drop_marks(template);
+	text[0] = '\0';
+	complete(given, text, template, template + strlen(template));
 	cr_assert(settings_parse(settings, text, strlen(text), &faults),
-		  "%u: %s", faults.items[0].line, faults.items[0].text);
+		  "without %s, %u: %s", given->missing ? given->missing : "-",
+		  faults.items[0].line, faults.items[0].text);
+	free(template);
+}
+
+/* Guards against a node that refuses its settings because the platform gives no
+ * value for a field, or drops the lines around a section. */
+Test(examples, deployed_settings_are_valid_without_each_optional_value)
+{
+	static const char *const fields[] = {
+		NULL,
+		"bounds.grace_s",
+		"bounds.budget_slack",
+		"bounds.budget_window_s",
+		"heartbeat_interval_s",
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(fields); i++) {
+		const struct given given = { .missing = fields[i] };
+		struct settings settings;
+
+		read_deployed(&settings, &given);
+		cr_expect_eq(settings.call.linger_ms, 2300, "without %s",
+			     fields[i] ? fields[i] : "-");
+	}
+	for (i = 0; i < 2; i++) {
+		const struct given given = { .drops_lines = true,
+					     .grace_s = i ? "6" : NULL };
+		struct settings settings;
+
+		read_deployed(&settings, &given);
+		cr_expect_eq(settings.call.linger_ms, 2300);
+		cr_expect_eq(settings.call.retry_slack, 58);
+	}
 }
 
 /*
@@ -314,7 +392,12 @@
 		struct settings settings;
 		long work_ms;
 
-		read_deployed(&settings, cases[i].grace_s);
+		read_deployed(&settings,
+			      &(struct given){
+				      .grace_s = cases[i].grace_s,
+				      .missing = cases[i].grace_s
+							 ? NULL
+							 : "bounds.grace_s" });
 		work_ms = settings.call.linger_ms + settings.call.drain_ms;
 		cr_expect_geq(work_ms, cases[i].work_ms, "case %zu: %ld ms", i,
 			      work_ms);
@@ -334,7 +417,11 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		struct settings settings;
 
-		read_deployed(&settings, cases[i]);
+		read_deployed(&settings,
+			      &(struct given){
+				      .grace_s = cases[i],
+				      .missing = cases[i] ? NULL
+							  : "bounds.grace_s" });
 		cr_expect_eq(settings.call.linger_ms, 2300, "case %zu", i);
 		cr_expect_eq(settings.call.keep_upstream_ms, 2000, "case %zu",
 			     i);
