http, node: who still receives is judged by progress

What callers saw: a node that was told to stop ended 3.3 s later with 2.7 s of its grace time left and cut off six answers of six that callers read at 25 kB/s. A closing connection was reset under a caller with a window of 64 KiB.

Cause: both judged by time. A stop waited a second after its calls had drained; lingering asked once a second whether bytes were acknowledged since, and a caller with 64 KiB at 25 kB/s acknowledges each 1.4 s.

One rule, os/delivery.h, from the unacknowledged bytes of the socket: active while they change within 4 s. Lingering, the idle time of a connection and a stop use it, for callers and for peers. A stop waits for active receivers until 0.5 s after the end of its work; its longest time is the same as before.

Rows of leaving/ have a fourth field; those without a receiver expect the same times.

--- a/src/http/conn.c
+++ b/src/http/conn.c
@@ -128,6 +128,12 @@
 	conn_free(conn);
 }
 
+enum delivery_state conn_delivery(struct http_conn *conn)
+{
+	return delivery_update(&conn->delivery, net_undelivered_bytes(conn->fd),
+			       now(conn));
+}
+
 /* Closing the socket while the caller still sends would reset the connection
  * and could discard an answer that the caller has not received yet. */
 static void linger(struct http_conn *conn)
@@ -135,7 +141,7 @@
 	conn->state = CONN_LINGERING;
 	shutdown(conn->fd, SHUT_WR);
 	conn->read_paused = false;
-	conn->undelivered_bytes = net_undelivered_bytes(conn->fd);
+	conn_delivery(conn);
 	begin_wait(conn);
 	update_watch(conn);
 }
@@ -532,19 +538,18 @@
 		write_output(conn);
 }
 
-/* Returns true if the caller has received bytes of its answers during the wait
- * and does not have all of them. */
-static bool is_receiving(struct http_conn *conn)
+/* Returns true if only the caller is waited for, which still receives answers.
+ * To close the connection would cut them off if it sent another request. */
+static bool awaits_delivery(struct http_conn *conn)
 {
-	size_t before = conn->undelivered_bytes;
-
-	conn->undelivered_bytes = net_undelivered_bytes(conn->fd);
-	return conn->undelivered_bytes && conn->undelivered_bytes < before;
+	return (conn->state == CONN_LINGERING ||
+		(!conn->exchanges && !conn->current_exchange)) &&
+	       conn_delivery(conn) == DELIVERY_ACTIVE;
 }
 
 static void wait_expired(struct http_conn *conn)
 {
-	if (conn->state == CONN_LINGERING && is_receiving(conn)) {
+	if (awaits_delivery(conn)) {
 		begin_wait(conn);
 		return;
 	}
--- a/src/http/conn.h
+++ b/src/http/conn.h
@@ -102,8 +102,7 @@
  * @out: output that is not written yet
  * @queued_bytes: total number of bytes appended to @out
  * @written_bytes: total number of bytes written to the socket
- * @undelivered_bytes: bytes that the caller had not received at the start of
- *the current wait in CONN_LINGERING
+ * @delivery: whether the caller still receives its answers
  * @wait_start_us: start of the current wait, in microseconds of the loop time
  */
 struct http_conn {
@@ -128,7 +127,7 @@
 	struct buffer out;
 	uint64_t queued_bytes;
 	uint64_t written_bytes;
-	size_t undelivered_bytes;
+	struct delivery delivery;
 	int64_t wait_start_us;
 };
 
@@ -136,6 +135,9 @@
 void conn_new(struct http_server *server, int fd,
 	      const struct address *caller_address);
 
+/** conn_delivery() - whether the caller still receives what was written. */
+enum delivery_state conn_delivery(struct http_conn *conn);
+
 /** conn_free() - closes the connection and aborts its exchanges. */
 void conn_free(struct http_conn *conn);
 
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -110,14 +110,18 @@
 	server->loop = NULL;
 }
 
-bool http_server_has_undelivered(const struct http_server *server)
+enum delivery_state http_server_delivery(struct http_server *server)
 {
-	const struct http_conn *conn;
+	enum delivery_state most = DELIVERY_COMPLETE;
+	struct http_conn *conn;
 
-	DL_FOREACH(server->conns, conn)
-		if (net_undelivered_bytes(conn->fd))
-			return true;
-	return false;
+	DL_FOREACH(server->conns, conn) {
+		enum delivery_state state = conn_delivery(conn);
+
+		if (state > most)
+			most = state;
+	}
+	return most;
 }
 
 const struct address *http_server_address(const struct http_server *server)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -10,6 +10,7 @@
 #include "base/error.h"
 #include "event/loop.h"
 #include "http/head.h"
+#include "os/delivery.h"
 
 /**
  * DOC: http server
@@ -139,10 +140,12 @@
 void http_server_disable_keep_alive(struct http_server *server);
 
 /**
- * http_server_has_undelivered() - returns true if a caller has not received all
- *	bytes that were written to its connection
+ * http_server_delivery() - whether callers still receive what was written to
+ *	their connections
+ *
+ * Return: the most urgent state of all connections.
  */
-bool http_server_has_undelivered(const struct http_server *server);
+enum delivery_state http_server_delivery(struct http_server *server);
 
 /** http_server_finish() - closes all connections; calls no abort callback. */
 void http_server_finish(struct http_server *server);
--- a/src/node/leaving.c
+++ b/src/node/leaving.c
@@ -29,11 +29,15 @@
 /* The wait for callers ends at the latest CALLS_DRAIN_FLUSH_MS after the end of
  * the drain time. A longer wait would add to the earlier waits, and the process
  * could be killed before it ends. */
-static int64_t callers_until_us(const struct leaving *leaving)
+static int64_t callers_until_us(const struct leaving *leaving, bool receiving)
 {
+	int64_t last_us =
+		leaving->work_until_us + CALLS_DRAIN_FLUSH_MS * US_PER_MS;
+
+	if (receiving)
+		return last_us;
 	return min_us(leaving->drained_us + LEAVING_CALLERS_MS * US_PER_MS,
-		      leaving->work_until_us +
-			      CALLS_DRAIN_FLUSH_MS * US_PER_MS);
+		      last_us);
 }
 
 int64_t leaving_until_us(const struct leaving *leaving,
@@ -50,6 +54,7 @@
 				  leaving->signalled_us +
 					  LEAVING_LEASE_RELEASE_MS * US_PER_MS);
 	if (open->callers || open->peers)
-		until_us = max_us(until_us, callers_until_us(leaving));
+		until_us = max_us(until_us,
+				  callers_until_us(leaving, open->receiving));
 	return until_us;
 }
--- a/src/node/leaving.h
+++ b/src/node/leaving.h
@@ -19,8 +19,8 @@
 	LEAVING_DATAGRAMS_MS = 100,
 	/* Maximum time from the signal for the release of the lease. */
 	LEAVING_LEASE_RELEASE_MS = 1000,
-	/* Maximum time after draining for callers and peers to receive a last
-	 * answer. */
+	/* Maximum time after draining for callers without a complete answer,
+	 * and for callers and peers that take no bytes of one. */
 	LEAVING_CALLERS_MS = 1000,
 	/* Maximum time of a stop beyond the linger time and the drain time. */
 	LEAVING_OVERHEAD_MAX_MS = 1000,
@@ -44,11 +44,13 @@
  * @callers: true while a caller has a request without a complete answer, or has
  *	not received all bytes of one
  * @peers: true while a peer has not received all bytes of an answer
+ * @receiving: true while one of them still takes bytes
  */
 struct leaving_open {
 	bool store;
 	bool callers;
 	bool peers;
+	bool receiving;
 };
 
 /**
--- a/src/node/leaving_test.c
+++ b/src/node/leaving_test.c
@@ -16,34 +16,40 @@
 		int64_t linger_ms;
 		int64_t drain_ms;
 		int64_t drained_ms;
-		struct leaving_open open; /* store, callers, peers */
+		struct leaving_open open; /* store, callers, peers, receiving */
 		int64_t wanted_ms;
 	} cases[] = {
 		/* No remaining work: only datagrams are sent. */
-		{ 0, 30000, 0, { false, false, false }, 100 },
-		{ 2300, 2200, 2300, { false, false, false }, 2400 },
-		{ 2300, 2200, 5000, { false, false, false }, 5100 },
+		{ 0, 30000, 0, { false, false, false, false }, 100 },
+		{ 2300, 2200, 2300, { false, false, false, false }, 2400 },
+		{ 2300, 2200, 5000, { false, false, false, false }, 5100 },
 		/* The wait for the store counts from the signal. */
-		{ 0, 30000, 0, { true, false, false }, 1000 },
-		{ 0, 30000, 950, { true, false, false }, 1050 },
-		{ 2300, 2200, 2300, { true, false, false }, 2400 },
-		{ 2300, 2200, 5000, { true, false, false }, 5100 },
+		{ 0, 30000, 0, { true, false, false, false }, 1000 },
+		{ 0, 30000, 950, { true, false, false, false }, 1050 },
+		{ 2300, 2200, 2300, { true, false, false, false }, 2400 },
+		{ 2300, 2200, 5000, { true, false, false, false }, 5100 },
 		/* Callers that connected just before the port closed. */
-		{ 0, 30000, 0, { false, true, false }, 1000 },
-		{ 2300, 2200, 2300, { false, true, false }, 3300 },
-		{ 2300, 2200, 4400, { false, true, false }, 5000 },
+		{ 0, 30000, 0, { false, true, false, false }, 1000 },
+		{ 2300, 2200, 2300, { false, true, false, false }, 3300 },
+		{ 2300, 2200, 4400, { false, true, false, false }, 5000 },
 		/* Callers that had at least the drain time. */
-		{ 2300, 2200, 5000, { false, true, false }, 5100 },
-		{ 2300, 2200, 5000, { true, true, false }, 5100 },
-		{ 0, 1000, 1500, { true, true, false }, 1600 },
+		{ 2300, 2200, 5000, { false, true, false, false }, 5100 },
+		{ 2300, 2200, 5000, { true, true, false, false }, 5100 },
+		{ 0, 1000, 1500, { true, true, false, false }, 1600 },
 		/* Peers get as much time as callers. */
-		{ 2300, 2200, 2300, { false, false, true }, 3300 },
-		{ 2300, 2200, 4400, { false, false, true }, 5000 },
-		{ 2300, 2200, 5000, { true, true, true }, 5100 },
+		{ 2300, 2200, 2300, { false, false, true, false }, 3300 },
+		{ 2300, 2200, 4400, { false, false, true, false }, 5000 },
+		{ 2300, 2200, 5000, { true, true, true, false }, 5100 },
+		/* Callers and peers that still take bytes of an answer. */
+		{ 2300, 2700, 2300, { false, true, false, true }, 5500 },
+		{ 2300, 2700, 2300, { true, true, false, true }, 5500 },
+		{ 2300, 2700, 4900, { false, false, true, true }, 5500 },
+		{ 2300, 2700, 5500, { false, true, false, true }, 5600 },
+		{ 0, 0, 0, { false, true, false, true }, 500 },
 		/* No linger time and no drain time. */
-		{ 0, 0, 0, { false, true, false }, 500 },
-		{ 0, 0, 500, { false, true, false }, 600 },
-		{ 0, 0, 500, { true, true, false }, 1000 },
+		{ 0, 0, 0, { false, true, false, false }, 500 },
+		{ 0, 0, 500, { false, true, false, false }, 600 },
+		{ 0, 0, 500, { true, true, false, false }, 1000 },
 	};
 	size_t i;
 
@@ -79,7 +85,7 @@
 			for (at_ms = times_ms[linger];
 			     at_ms <= max_ms + CALLS_DRAIN_FLUSH_MS; at_ms++) {
 				const struct leaving_open all = { true, true,
-								  true };
+								  true, true };
 				struct leaving leaving;
 
 				leaving_begin(&leaving, times_ms[linger],
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -416,12 +416,17 @@
  * process: the kernel would reset the connection. */
 static struct leaving_open open_work(void *data)
 {
-	const struct node *node = data;
+	struct node *node = data;
+	enum delivery_state callers = http_server_delivery(&node->callers);
+	enum delivery_state peers =
+		wire_hub_delivery(&node->hub, loop_now_us(&node->loop));
 	const struct leaving_open open = {
 		.store = !node_source_is_idle(node),
 		.callers = node->callers.exchange_count > 0 ||
-			   http_server_has_undelivered(&node->callers),
-		.peers = wire_hub_has_undelivered(&node->hub),
+			   callers != DELIVERY_COMPLETE,
+		.peers = peers != DELIVERY_COMPLETE,
+		.receiving = callers == DELIVERY_ACTIVE ||
+			     peers == DELIVERY_ACTIVE,
 	};
 
 	return open;
--- a/src/wire/hub.c
+++ b/src/wire/hub.c
@@ -195,16 +195,24 @@
 	}
 }
 
-bool wire_hub_has_undelivered(const struct wire_hub *hub)
+enum delivery_state wire_hub_delivery(struct wire_hub *hub, int64_t now_us)
 {
-	const struct wire_conn *conn;
+	enum delivery_state most = DELIVERY_COMPLETE;
+	struct wire_conn *conn;
 
-	DL_FOREACH(hub->conns, conn)
-		if (conn->state == WIRE_CONN_OPEN && !conn->dialed &&
-		    (wire_conn_queued_bytes(conn) ||
-		     net_undelivered_bytes(conn->fd)))
-			return true;
-	return false;
+	DL_FOREACH(hub->conns, conn) {
+		enum delivery_state state;
+
+		if (conn->state != WIRE_CONN_OPEN || conn->dialed)
+			continue;
+		state = delivery_update(&conn->delivery,
+					wire_conn_queued_bytes(conn) +
+						net_undelivered_bytes(conn->fd),
+					now_us);
+		if (state > most)
+			most = state;
+	}
+	return most;
 }
 
 static const char *state_name(enum wire_conn_state state)
--- a/src/wire/hub.h
+++ b/src/wire/hub.h
@@ -10,6 +10,7 @@
 #include "base/buffer.h"
 #include "base/error.h"
 #include "event/loop.h"
+#include "os/delivery.h"
 #include "wire/codec.h"
 #include "wire/compressor.h"
 #include "wire/filter.h"
@@ -70,6 +71,7 @@
  * @opened_us: monotonic time at which the handshake ended, in microseconds
  * @component_data: pointer for use by the component of each range, indexed by
  *	range / 16; NULL at first
+ * @delivery: whether the peer still receives what was sent
  * @err: reason of the close; ERROR_NONE for a normal close
  * @ended_in_order: the peer ended the connection after it had received all that
  *	was sent
@@ -91,6 +93,7 @@
 	int64_t received_us;
 	int64_t opened_us;
 	void *component_data[FRAME_TYPES / 16];
+	struct delivery delivery;
 	struct error err;
 	bool ended_in_order;
 
@@ -232,12 +235,14 @@
 			 const struct wire_filter *filter);
 
 /**
- * wire_hub_has_undelivered() - returns true if a peer has not received all
- *bytes that were sent on a connection which it opened
+ * wire_hub_delivery() - whether peers still receive what was sent on the
+ *	connections that they opened
  *
  * These connections carry answers.
+ *
+ * Return: the most urgent state of all of them.
  */
-bool wire_hub_has_undelivered(const struct wire_hub *hub);
+enum delivery_state wire_hub_delivery(struct wire_hub *hub, int64_t now_us);
 
 /** wire_hub_dump() - returns connections and traffic by frame type as JSON. */
 json_t *wire_hub_dump(const struct wire_hub *hub);
--- a/src/wire/lost_conn_test.c
+++ b/src/wire/lost_conn_test.c
@@ -173,16 +173,17 @@
 	from_a = wire_hub_connect(&a.hub, &b.hub.self.address);
 	turn_until(&a.opened, 1);
 	turn_until(&b.opened, 1);
-	for (i = 0; i < TURNS && wire_hub_has_undelivered(&b.hub); i++)
+	for (i = 0; i < TURNS && wire_hub_delivery(&b.hub, 1); i++)
 		loop_turn(&loop, TURN_US);
-	cr_expect_not(wire_hub_has_undelivered(&b.hub));
+	cr_expect_eq(wire_hub_delivery(&b.hub, 1), DELIVERY_COMPLETE);
 	/* The opener of a connection does not read for a while. */
 	watch_stop(&from_a->watch);
 	fill_queue(b.hub.conns);
 	frame = encode_frame(10, &size);
-	cr_expect(wire_hub_has_undelivered(&b.hub));
+	cr_expect_eq(wire_hub_delivery(&b.hub, 1), DELIVERY_ACTIVE);
 	cr_expect(wire_conn_send(from_a, frame, size));
-	cr_expect_not(wire_hub_has_undelivered(&a.hub), "not an answer");
+	cr_expect_eq(wire_hub_delivery(&a.hub, 1), DELIVERY_COMPLETE,
+		     "not an answer");
 	wire_hub_finish(&a.hub);
 	wire_hub_finish(&b.hub);
 	loop_finish(&loop);
