node: each changed key takes effect, or a warning names it

What callers saw: the settings files named another address of the store, and the store left the former one 8 s later. From then on no version took effect: 108 of 108 requests for a moved route went to the old service until a restart.

Cause: node_reload() read the whole file, took over new seeds and left out everything else without a line.

Each key has an entry now. With another address, watches at the former one end as if it were unreachable.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -70,6 +70,13 @@
 		state.options.fd = STDOUT_FILENO;
 }
 
+void log_set_limits(const struct log_options *options)
+{
+	state.options.level = options->level;
+	state.options.rate_per_s = options->rate_per_s;
+	state.options.requests_per_s = options->requests_per_s;
+}
+
 int log_level_parse(const char *name)
 {
 	int i;
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -67,6 +67,9 @@
 /** log_init() - set up the log of the process; strings must outlive it. */
 void log_init(const struct log_options *options);
 
+/** log_set_limits() - take over the level and the rates of @options. */
+void log_set_limits(const struct log_options *options);
+
 /** log_level_parse() - parse "debug" to "error"; negative if unknown. */
 int log_level_parse(const char *name);
 
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -616,7 +616,9 @@
 	if (!node)
 		abort();
 	log_init(&log);
-	node->settings = settings;
+	node->settings_in_force = *settings;
+	node->settings_seen = *settings;
+	node->settings = &node->settings_in_force;
 	node->settings_path = path;
 	if (!start(node, &err)) {
 		log_error(component, "cannot_start",
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -38,6 +38,9 @@
 
 /**
  * struct node - all state of the process
+ * @settings: points to @settings_in_force
+ * @settings_in_force: settings of the start, and what has taken effect since
+ * @settings_seen: settings file as last read
  * @settings_path: path of the settings file
  * @callers: server for the requests of callers
  * @announcements: server for the announcements of the upstream
@@ -73,6 +76,8 @@
  */
 struct node {
 	const struct settings *settings;
+	struct settings settings_in_force;
+	struct settings settings_seen;
 	const char *settings_path;
 	struct loop loop;
 	struct wire_hub hub;
@@ -157,6 +162,9 @@
 /** node_metrics_handle() - an http_handler_fn that serves only metrics. */
 void node_metrics_handle(struct http_exchange *exchange, void *data);
 
+/** node_source_change() - take over the settings of the platform's service. */
+void node_source_change(struct node *node);
+
 /** node_reload() - read the settings file again; an invalid file is ignored. */
 void node_reload(struct node *node);
 
--- a/src/node/settings.c
+++ b/src/node/settings.c
@@ -1,9 +1,12 @@
 #include "node/settings_defs.h"
 
+#include <assert.h>
 #include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include <xxhash.h>
+
 #include "base/toml.h"
 #include "node/stop_times.h"
 #include "os/clock.h"
@@ -272,6 +275,49 @@
 		call->drain_ms = stop_times_drain_ms(grace_ms, call->linger_ms);
 }
 
+static uint64_t hash_seeds(const struct settings_peers *peers)
+{
+	return XXH3_64bits(peers->seeds,
+			   peers->seed_count * sizeof(peers->seeds[0]));
+}
+
+/* Returns a hash of the value as written, before others are derived from it. */
+static uint64_t hash_value(const struct settings_draft *draft,
+			   const struct schema_field *field)
+{
+	const char *member = (const char *)draft + field->offset;
+
+	switch (field->type) {
+	case SCHEMA_STRING:
+		return XXH3_64bits(member, strlen(member));
+	case SCHEMA_INTEGER:
+		return XXH3_64bits(member, sizeof(int64_t));
+	case SCHEMA_REAL:
+		return XXH3_64bits(member, sizeof(double));
+	case SCHEMA_BOOLEAN:
+		return XXH3_64bits(member, sizeof(bool));
+	case SCHEMA_ARRAY: /* the only one is that of the seeds */
+		return hash_seeds(&draft->settings.peers);
+	case SCHEMA_TABLE:
+		break;
+	}
+	return 0;
+}
+
+static void hash_values(struct settings_draft *draft)
+{
+	uint32_t index = 0;
+	size_t i;
+	size_t j;
+
+	for (i = 0; i < SETTINGS_SECTION_COUNT; i++)
+		for (j = 0; j < settings_sections[i].count; j++) {
+			assert(index < SETTINGS_KEYS_MAX);
+			draft->settings.key_hashes[index++] = hash_value(
+				draft, &settings_sections[i].fields[j]);
+		}
+}
+
 /* An embedded zero byte would silently truncate the text. */
 static bool text_is_valid(const char *text, size_t size, struct faults *faults)
 {
@@ -315,6 +361,7 @@
 	check_seeds(root, &draft, faults);
 	check_secrets(root, &draft, faults);
 	check_relations(root, &draft, faults);
+	hash_values(&draft);
 	derive_stop_times(root, draft.settings.node.form, &draft.settings.call);
 	toml_free(root);
 	if (faults->count)
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -317,6 +317,13 @@
 	int64_t connections_max;
 };
 
+/** Maximum number of keys of all sections. */
+enum { SETTINGS_KEYS_MAX = 192 };
+
+/**
+ * struct settings - all sections of the settings file
+ * @key_hashes: hash of the value of each key, in the order of settings_each()
+ */
 struct settings {
 	struct settings_node node;
 	struct settings_listen listen;
@@ -331,8 +338,17 @@
 	struct settings_call call;
 	struct settings_gate gate;
 	struct settings_upstream upstream;
+	uint64_t key_hashes[SETTINGS_KEYS_MAX];
 };
 
+/**
+ * settings_key_index() - index of a key in settings.key_hashes
+ * @name: "section.key"
+ *
+ * Return: SETTINGS_KEYS_MAX if there is no such key.
+ */
+uint32_t settings_key_index(const char *name);
+
 /**
  * settings_parse() - parse and check settings
  * @settings: filled in if there are no faults
--- a/src/node/settings_table.c
+++ b/src/node/settings_table.c
@@ -318,6 +318,32 @@
 	}
 }
 
+struct key_search {
+	const char *name;
+	uint32_t next;
+	uint32_t found;
+};
+
+static void compare_key(const struct settings_option *option, void *data)
+{
+	struct key_search *search = data;
+	char name[64];
+
+	snprintf(name, sizeof(name), "%s.%s", option->section,
+		 option->field->name);
+	if (!strcmp(name, search->name))
+		search->found = search->next;
+	search->next++;
+}
+
+uint32_t settings_key_index(const char *name)
+{
+	struct key_search search = { .name = name, .found = SETTINGS_KEYS_MAX };
+
+	settings_each(compare_key, &search);
+	return search.found;
+}
+
 const char *settings_type_name(enum schema_type type)
 {
 	switch (type) {
--- a/src/node/source.c
+++ b/src/node/source.c
@@ -225,18 +225,35 @@
 	return node->settings->node.form == INTERFACE_PLATFORM;
 }
 
-static void start_store(struct node *node)
+static void set_store_options(const struct node *node,
+			      struct store_options *options)
 {
 	const struct settings_platform *from = &node->settings->platform;
+
+	store_options_default(options);
+	options->form = node->settings->node.form;
+	options->address = from->address;
+	options->deadline_ms = from->timeout_ms * 2;
+	options->attempt_timeout_ms = from->timeout_ms;
+	options->rate_per_s = (double)from->calls_per_s;
+	options->burst = (double)(from->calls_per_s * CALL_BURST_S);
+}
+
+void node_source_change(struct node *node)
+{
+	struct store_options options;
+
+	if (!node->has_source)
+		return;
+	set_store_options(node, &options);
+	store_change(&node->store, &options);
+}
+
+static void start_store(struct node *node)
+{
 	struct store_options options;
 
-	store_options_default(&options);
-	options.form = node->settings->node.form;
-	options.address = from->address;
-	options.deadline_ms = from->timeout_ms * 2;
-	options.attempt_timeout_ms = from->timeout_ms;
-	options.rate_per_s = (double)from->calls_per_s;
-	options.burst = (double)(from->calls_per_s * CALL_BURST_S);
+	set_store_options(node, &options);
 	options.seed = node_seed();
 	store_init(&node->store, &node->loop, &node->client, &options);
 }
--- a/src/retries/net.c
+++ b/src/retries/net.c
@@ -210,6 +210,12 @@
 	return account == RETRIES_ALL ? net->options.slack : 0;
 }
 
+void retries_net_change(struct retries_net *net, double slack, double window_s)
+{
+	net->options.slack = slack;
+	net->options.window_s = window_s;
+}
+
 static void add_report(struct retries_net *net,
 		       const struct retries_report *report,
 		       struct retries_news *news)
--- a/src/retries/net.h
+++ b/src/retries/net.h
@@ -70,6 +70,9 @@
 	int64_t started_us;
 };
 
+/** retries_net_change() - take over other values of these two options. */
+void retries_net_change(struct retries_net *net, double slack, double window_s);
+
 void retries_net_init(struct retries_net *net,
 		      const struct retries_options *options);
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -202,6 +202,47 @@
 	finish(call, &attempt_result);
 }
 
+/* Ends the watches, one for each call of store_end_attempt(), which may change
+ * the list of calls. */
+static void end_watches(struct store *store)
+{
+	struct store_result result = {
+		.outcome = STORE_NO_EFFECT,
+		.reason = STORE_UNREACHABLE,
+	};
+	struct store_call *call = store->calls;
+
+	error_set(&result.err, ERROR_IO,
+		  "platform: the address of the service has changed");
+	while (call) {
+		struct store_call *next = call->next;
+
+		if (call->request.kind == STORE_WATCH && call->transfer) {
+			http_client_cancel(call->transfer);
+			store_end_attempt(call, &result);
+			next = store->calls;
+		}
+		call = next;
+	}
+}
+
+void store_change(struct store *store, const struct store_options *options)
+{
+	bool moved = !address_equal(&store->options.address, &options->address);
+
+	store->options.address = options->address;
+	store->options.deadline_ms = options->deadline_ms;
+	store->options.attempt_timeout_ms = options->attempt_timeout_ms;
+	if (store->options.rate_per_s < options->rate_per_s ||
+	    store->options.rate_per_s > options->rate_per_s)
+		token_bucket_init(&store->token_bucket, options->rate_per_s,
+				  options->burst, clock_monotonic_us());
+	store->options.rate_per_s = options->rate_per_s;
+	store->options.burst = options->burst;
+	if (moved)
+		end_watches(store);
+}
+
 static void on_answer(const struct http_answer *answer, void *data)
 {
 	struct store_call *call = data;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -98,6 +98,16 @@
 void store_init(struct store *store, struct loop *loop,
 		struct http_client *http, const struct store_options *options);
 
+/**
+ * store_change() - take over another address, other timeouts or another rate
+ * @options: only address, deadline, attempt timeout, rate and burst are taken
+ *
+ * With another address, watches end as if the service were unreachable, since
+ * the service may have left the former address without a sign. Other attempts
+ * in progress go on; the next one of their call goes to the new address.
+ */
+void store_change(struct store *store, const struct store_options *options);
+
 /** store_finish() - cancel all calls; no callback is called. */
 void store_finish(struct store *store);
 
--- a/test/functional/docs_test.c
+++ b/test/functional/docs_test.c
@@ -7,6 +7,7 @@
 
 #include "call/call_defs.h"
 #include "fleet/process.h"
+#include "node/reload_keys.h"
 #include "node/settings.h"
 
 /*
@@ -154,6 +155,26 @@
 		expect_documented("default", row, "geraniumplank settings");
 }
 
+static void expect_effect(const struct settings_option *option, void *data)
+{
+	char name[NAME_MAX_SIZE];
+	char row[NAME_MAX_SIZE * 2];
+
+	snprintf(name, sizeof(name), "%s.%s", option->section,
+		 option->field->name);
+	snprintf(row, sizeof(row), "| `%s` | %s |", name,
+		 reload_effect_of(name) == RELOAD_AT_ONCE ? "at once"
+							  : "with a restart");
+	expect_documented("effect of a change", row, "src/node/reload_keys.c");
+}
+
+Test(docs, every_setting_is_documented_with_the_effect_of_a_change,
+     .init = setup)
+{
+	settings_each(expect_effect, NULL);
+	cr_assert_gt(checked, 40);
+}
+
 Test(docs, every_setting_is_documented_with_its_default, .init = setup)
 {
 	settings_each(expect_option, NULL);
--- a/test/functional/target.c
+++ b/test/functional/target.c
@@ -33,22 +33,30 @@
 	cr_assert(process_wait_ready(process, WAIT_MS), "%s", name);
 }
 
-void target_start_node(int i)
+void target_write_settings(int i, const char *more)
 {
 	struct target_node *node = &target.nodes[i];
-	const char *args[] = { "node", "--settings", node->settings, NULL };
-	char name[16];
 	FILE *file;
 
-	snprintf(name, sizeof(name), "node-%d", i);
-	snprintf(node->settings, PATH_SIZE, "%.150s/%.20s.toml",
-		 target_directory, name);
+	snprintf(node->settings, PATH_SIZE, "%.150s/node-%d.toml",
+		 target_directory, i);
 	file = fopen(node->settings, "we");
 	cr_assert_not_null(file);
 	fprintf(file, settings_format, i,
 		*node->peer ? node->peer : "127.0.0.1:0",
 		target.metadata_address);
+	fputs(more, file);
 	cr_assert_eq(fclose(file), 0);
+}
+
+void target_start_node(int i)
+{
+	struct target_node *node = &target.nodes[i];
+	const char *args[] = { "node", "--settings", node->settings, NULL };
+	char name[16];
+
+	snprintf(name, sizeof(name), "node-%d", i);
+	target_write_settings(i, "");
 	target_start_child(&node->process, "geraniumplank", args, name);
 	process_ready_text(&node->process, "peer", node->peer, ADDRESS_SIZE);
 	process_ready_text(&node->process, "caller", node->caller,
--- a/test/functional/target.h
+++ b/test/functional/target.h
@@ -67,6 +67,9 @@
 void target_start(void);
 void target_stop(void);
 
+/** target_write_settings() - write the settings of a node, and @more lines. */
+void target_write_settings(int i, const char *more);
+
 /** target_start_node() - start a node, also again at the same address. */
 void target_start_node(int i);
 
