--- a/src/http/client_conn.c
+++ b/src/http/client_conn.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "http/answer_owner.h"
+#include "http/keep_alive.h"
 #include "os/clock.h"
 #include "os/net.h"
 
@@ -15,12 +16,6 @@
 	READ_BYTES = 64 * 1024,
 	READ_ROUNDS = 4,
 	TEXT_SIZE = 96,
-	/* Used if the server does not send a Keep-Alive timeout. */
-	KEEP_ALIVE_DEFAULT_MS = 4000,
-	KEEP_ALIVE_MAX_MS = 60 * 1000,
-	/* Used share of the Keep-Alive timeout: the idle time of the server
-	 * starts earlier. */
-	KEEP_ALIVE_PERCENT = 80,
 	IDLE_CHECK_MS = 1000,
 	/* Attempts at a request reach this process with different delays. */
 	REPEAT_MARGIN_MS = 1000,
@@ -214,25 +209,6 @@
 	.on_message_complete = on_message,
 };
 
-/* Returns the maximum idle time according to the Keep-Alive field. */
-static int64_t parse_keep_alive_us(const struct http_transfer *transfer)
-{
-	const char *text = http_head_find(&transfer->head, "Keep-Alive");
-	const char *at = text ? strcasestr(text, "timeout=") : NULL;
-	long seconds;
-	int64_t keep_alive_ms;
-
-	if (!at)
-		return KEEP_ALIVE_DEFAULT_MS * US_PER_MS;
-	seconds = strtol(at + strlen("timeout="), NULL, 10);
-	if (seconds <= 0)
-		return 0;
-	keep_alive_ms = (int64_t)seconds * MS_PER_S * KEEP_ALIVE_PERCENT / 100;
-	if (keep_alive_ms > KEEP_ALIVE_MAX_MS)
-		keep_alive_ms = KEEP_ALIVE_MAX_MS;
-	return keep_alive_ms * US_PER_MS;
-}
-
 static void make_idle(struct client_conn *conn)
 {
 	struct http_client *client = conn->client;
@@ -261,7 +237,7 @@
 		!transfer->write_failed &&
 		!carried_is_full(&conn->carried, now(conn));
 
-	conn->keep_alive_us = reusable ? parse_keep_alive_us(transfer) : 0;
+	conn->keep_alive_us = reusable ? keep_alive_us(&transfer->head) : 0;
 	if (conn->keep_alive_us > 0)
 		make_idle(conn);
 	else
--- a/src/node/node_defs.h
+++ b/src/node/node_defs.h
@@ -162,6 +162,16 @@
 /** node_metrics_handle() - an http_handler_fn that serves only metrics. */
 void node_metrics_handle(struct http_exchange *exchange, void *data);
 
+/** node_leave_init() - prepare the shutdown; call after the servers start. */
+void node_leave_init(struct node *node);
+
+/** node_leave() - begin a graceful shutdown, which sets node.stopped. */
+void node_leave(struct node *node);
+
+/** node_drained() - all calls have drained; the end of the process is near. */
+void node_drained(void *data);
+void node_leave_finish(struct node *node);
+
 /** node_source_change() - take over the settings of the platform's service. */
 void node_source_change(struct node *node);
 
